--- /dev/null
+++ b/src/ClientBlock.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Ids.h"
+
+#include <string>
+
+namespace pollenway {
+
+/// Address range of callers with the region that is nearest to them.
+struct ClientBlock
+{
+  /// CIDR notation, IPv4 or IPv6, for instance "203.0.113.0/24".
+  std::string mPrefix;
+  RegionName mRegion;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/Sha256.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace pollenway {
+
+/// SHA-256 digest in lower-case hexadecimal (64 characters).
+std::string
+Sha256Hex(std::string_view aText);
+
+} // namespace pollenway
--- /dev/null
+++ b/src/Target.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Ids.h"
+#include "Lifecycle.h"
+
+#include <cstdint>
+#include <string>
+
+namespace pollenway {
+
+/// A service's endpoint on a backend server.
+struct Target
+{
+  TargetName mName;
+  ServiceName mService;
+  PlaceName mPlace;
+  /// IP address in text form.
+  std::string mAddress;
+  uint16_t mPort = 0;
+  /// Requests that may run at once, over all instances together.
+  unsigned mSlots = 1;
+  /// Connections that may be open, over all instances together.
+  unsigned mConnections = 650;
+  Lifecycle mState = Lifecycle::Live;
+};
+
+} // namespace pollenway
