--- a/src/Assert.cpp
+++ b/src/Assert.cpp
@@ -5,11 +5,10 @@
 
 namespace pollenway {
 
-void
-FailInvariant(const char* aCondition,
-              const char* aMessage,
-              const char* aFile,
-              int aLine)
+void FailInvariant(const char* aCondition,
+                   const char* aMessage,
+                   const char* aFile,
+                   int aLine)
 {
   std::fprintf(stderr,
                "event=invariant_failed condition=\"%s\" message=\"%s\" "
--- a/src/Assert.h
+++ b/src/Assert.h
@@ -3,11 +3,10 @@
 namespace pollenway {
 
 /// Prints the broken invariant and ends the process. Never returns.
-[[noreturn]] void
-FailInvariant(const char* aCondition,
-              const char* aMessage,
-              const char* aFile,
-              int aLine);
+[[noreturn]] void FailInvariant(const char* aCondition,
+                                const char* aMessage,
+                                const char* aFile,
+                                int aLine);
 
 } // namespace pollenway
 
--- a/src/HashOf.cpp
+++ b/src/HashOf.cpp
@@ -5,8 +5,7 @@
 
 namespace pollenway {
 
-uint64_t
-HashOf(std::initializer_list<std::string_view> aTexts)
+uint64_t HashOf(std::initializer_list<std::string_view> aTexts)
 {
   uint64_t hash = 0;
   for (auto it : aTexts) {
--- a/src/Inventory.cpp
+++ b/src/Inventory.cpp
@@ -9,8 +9,8 @@
 constexpr double kUnlinkedLatencyMs = 1e6;
 
 template<typename Element, typename Name>
-const Element*
-FindByName(const std::vector<Element>& aElements, const Name& aName)
+const Element* FindByName(const std::vector<Element>& aElements,
+                          const Name& aName)
 {
   for (const auto& it : aElements) {
     if (it.mName == aName) {
@@ -20,8 +20,7 @@
   return nullptr;
 }
 
-bool
-HasMethod(const Route& aRoute, std::string_view aMethod)
+bool HasMethod(const Route& aRoute, std::string_view aMethod)
 {
   return aRoute.mMethods.empty() ||
          std::find(aRoute.mMethods.begin(), aRoute.mMethods.end(), aMethod) !=
@@ -30,38 +29,32 @@
 
 } // namespace
 
-const Region*
-Inventory::FindRegion(const RegionName& aName) const
+const Region* Inventory::FindRegion(const RegionName& aName) const
 {
   return FindByName(mRegions, aName);
 }
 
-const Place*
-Inventory::FindPlace(const PlaceName& aName) const
+const Place* Inventory::FindPlace(const PlaceName& aName) const
 {
   return FindByName(mPlaces, aName);
 }
 
-const Service*
-Inventory::FindService(const ServiceName& aName) const
+const Service* Inventory::FindService(const ServiceName& aName) const
 {
   return FindByName(mServices, aName);
 }
 
-const Target*
-Inventory::FindTarget(const TargetName& aName) const
+const Target* Inventory::FindTarget(const TargetName& aName) const
 {
   return FindByName(mTargets, aName);
 }
 
-const Workspace*
-Inventory::FindWorkspace(const WorkspaceName& aName) const
+const Workspace* Inventory::FindWorkspace(const WorkspaceName& aName) const
 {
   return FindByName(mWorkspaces, aName);
 }
 
-const Region*
-Inventory::RegionOfZone(const ZoneName& aZone) const
+const Region* Inventory::RegionOfZone(const ZoneName& aZone) const
 {
   for (const auto& it : mRegions) {
     if (std::find(it.mZones.begin(), it.mZones.end(), aZone) !=
@@ -72,8 +65,7 @@
   return nullptr;
 }
 
-const Place*
-Inventory::ResolvePlace(const PlaceName& aName) const
+const Place* Inventory::ResolvePlace(const PlaceName& aName) const
 {
   const Place* place = FindPlace(aName);
   for (size_t n = 0; place && n <= mPlaces.size(); ++n) {
@@ -85,17 +77,16 @@
   return nullptr;
 }
 
-Inventory::RouteMatch
-Inventory::MatchRoute(std::string_view aMethod, std::string_view aPath) const
+Inventory::RouteMatch Inventory::MatchRoute(std::string_view aMethod,
+                                            std::string_view aPath) const
 {
   RouteMatch best;
   for (const auto& service : mServices) {
     for (const auto& route : service.mRoutes) {
-      const bool longer =
-        !best.mRoute ||
-        route.mPathPrefix.size() > best.mRoute->mPathPrefix.size();
-      if (longer && aPath.substr(0, route.mPathPrefix.size()) ==
-                      route.mPathPrefix &&
+      const bool longer = !best.mRoute || route.mPathPrefix.size() >
+                                            best.mRoute->mPathPrefix.size();
+      if (longer &&
+          aPath.substr(0, route.mPathPrefix.size()) == route.mPathPrefix &&
           HasMethod(route, aMethod)) {
         best = { &service, &route };
       }
@@ -104,8 +95,8 @@
   return best;
 }
 
-double
-Inventory::LatencyMs(const RegionName& aFrom, const RegionName& aTo) const
+double Inventory::LatencyMs(const RegionName& aFrom,
+                            const RegionName& aTo) const
 {
   if (aFrom == aTo) {
     return 0;
--- a/src/Lifecycle.cpp
+++ b/src/Lifecycle.cpp
@@ -2,8 +2,7 @@
 
 namespace pollenway {
 
-std::string_view
-Name(Lifecycle aState)
+std::string_view Name(Lifecycle aState)
 {
   switch (aState) {
     case Lifecycle::Live:
--- a/src/Lifecycle.h
+++ b/src/Lifecycle.h
@@ -13,7 +13,6 @@
 };
 
 /// "live", "draining" or "retired".
-std::string_view
-Name(Lifecycle aState);
+std::string_view Name(Lifecycle aState);
 
 } // namespace pollenway
--- a/src/ResultCode.cpp
+++ b/src/ResultCode.cpp
@@ -81,8 +81,7 @@
   { ResultCode::InternalError, "InternalError", Outcome::Unknown, 500 },
 };
 
-const CodeInfo&
-InfoOf(ResultCode aCode)
+const CodeInfo& InfoOf(ResultCode aCode)
 {
   for (const auto& it : kCodes) {
     if (it.mCode == aCode) {
@@ -94,20 +93,17 @@
 
 } // namespace
 
-std::string_view
-Name(ResultCode aCode)
+std::string_view Name(ResultCode aCode)
 {
   return InfoOf(aCode).mName;
 }
 
-Outcome
-OutcomeOf(ResultCode aCode)
+Outcome OutcomeOf(ResultCode aCode)
 {
   return InfoOf(aCode).mOutcome;
 }
 
-std::string_view
-Name(Outcome aOutcome)
+std::string_view Name(Outcome aOutcome)
 {
   switch (aOutcome) {
     case Outcome::NotRun:
@@ -120,8 +116,7 @@
   return "unknown";
 }
 
-unsigned
-HttpStatusOf(ResultCode aCode)
+unsigned HttpStatusOf(ResultCode aCode)
 {
   return InfoOf(aCode).mHttpStatus;
 }
--- a/src/ResultCode.h
+++ b/src/ResultCode.h
@@ -76,19 +76,15 @@
 };
 
 /// The code's name as in the enumeration, for instance "RateExceeded".
-std::string_view
-Name(ResultCode aCode);
+std::string_view Name(ResultCode aCode);
 
 /// What the code says about the request's execution.
-Outcome
-OutcomeOf(ResultCode aCode);
+Outcome OutcomeOf(ResultCode aCode);
 
 /// "not-run", "ran" or "unknown".
-std::string_view
-Name(Outcome aOutcome);
+std::string_view Name(Outcome aOutcome);
 
 /// HTTP status with which a refusal of this code is answered.
-unsigned
-HttpStatusOf(ResultCode aCode);
+unsigned HttpStatusOf(ResultCode aCode);
 
 } // namespace pollenway
--- a/src/Sha256.h
+++ b/src/Sha256.h
@@ -6,7 +6,6 @@
 namespace pollenway {
 
 /// SHA-256 digest in lower-case hexadecimal (64 characters).
-std::string
-Sha256Hex(std::string_view aText);
+std::string Sha256Hex(std::string_view aText);
 
 } // namespace pollenway
--- a/src/Time.h
+++ b/src/Time.h
@@ -15,22 +15,19 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock, Duration>;
-  static constexpr bool is_steady = true;
 };
 
 /// A point of monotonic time; the origin is arbitrary and differs by process.
 using TimePoint = MonotonicClock::time_point;
 
 /// `aDuration` in seconds, as a real number.
-inline double
-ToSeconds(Duration aDuration)
+inline double ToSeconds(Duration aDuration)
 {
   return std::chrono::duration<double>(aDuration).count();
 }
 
 /// `aSeconds` as a duration, rounded towards zero.
-inline Duration
-FromSeconds(double aSeconds)
+inline Duration FromSeconds(double aSeconds)
 {
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(aSeconds));
