Add the HTTP shell

Cause: entry instances, stand-ins and the admin port need one HTTP server and client with streamed bodies. Two faults found by the test: awaiting in a loop condition crashes with g++ 12, and Beast 1.74 takes a body limit of none as zero.

--- /dev/null
+++ b/src/HttpClientConnection.cpp
@@ -0,0 +1,169 @@
+#include "HttpClientConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <limits>
+
+namespace pollenway {
+
+HttpClientConnection::HttpClientConnection(asio::any_io_executor aExecutor)
+  : mStream(aExecutor)
+{
+}
+
+Awaitable<Result<void>> HttpClientConnection::Connect(tcp::endpoint aEndpoint,
+                                                      Duration aTimeout)
+{
+  ErrorCode ec;
+  mStream.expires_after(aTimeout);
+  co_await mStream.async_connect(aEndpoint, Into(ec));
+  if (ec) {
+    mFailed = true;
+    co_return Error{ ResultCode::PeerUnavailable,
+                     "connect failed: " + ec.message(),
+                     {} };
+  }
+  mStream.socket().set_option(tcp::no_delay(true), ec);
+  co_return outcome::success();
+}
+
+Awaitable<ErrorCode> HttpClientConnection::WriteHeader(RequestHeader aHeader,
+                                                       Duration aTimeout)
+{
+  mParser.reset();
+  mBytesSent = 0;
+  mRequestDone = false;
+  http::request<http::empty_body> request(std::move(aHeader));
+  mIsHead = request.method() == http::verb::head;
+  mChunked = beast::iequals(request[http::field::transfer_encoding], "chunked");
+  http::request_serializer<http::empty_body> serializer(request);
+  ErrorCode ec;
+  mStream.expires_after(aTimeout);
+  // Counted before the write: after an error, some bytes may have left.
+  mBytesSent += 1;
+  co_await http::async_write_header(mStream, serializer, Into(ec));
+  mFailed = mFailed || bool(ec);
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::WriteSome(const char* aData,
+                                                     size_t aSize,
+                                                     Duration aTimeout)
+{
+  ErrorCode ec;
+  if (aSize == 0) {
+    co_return ec;
+  }
+  mStream.expires_after(aTimeout);
+  const auto buf = asio::buffer(aData, aSize);
+  if (mChunked) {
+    co_await asio::async_write(mStream, http::make_chunk(buf), Into(ec));
+  } else {
+    co_await asio::async_write(mStream, buf, Into(ec));
+  }
+  mBytesSent += aSize;
+  mFailed = mFailed || bool(ec);
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::FinishRequest(Duration aTimeout)
+{
+  ErrorCode ec;
+  if (mChunked) {
+    mStream.expires_after(aTimeout);
+    co_await asio::async_write(mStream, http::make_chunk_last(), Into(ec));
+  }
+  mFailed = mFailed || bool(ec);
+  mRequestDone = !ec;
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::Write(TextRequest aRequest,
+                                                 Duration aTimeout)
+{
+  mParser.reset();
+  mChunked = false;
+  mIsHead = aRequest.method() == http::verb::head;
+  ErrorCode ec;
+  mStream.expires_after(aTimeout);
+  mBytesSent = 1;
+  co_await http::async_write(mStream, aRequest, Into(ec));
+  mFailed = mFailed || bool(ec);
+  mRequestDone = !ec;
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::ReadHeader(Duration aTimeout)
+{
+  ErrorCode ec;
+  mStream.expires_after(aTimeout);
+  do {
+    mParser.emplace();
+    mParser->body_limit(std::numeric_limits<uint64_t>::max());
+    mParser->skip(mIsHead);
+    co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
+  } while (!ec && mParser->get().result() == http::status::continue_);
+  mFailed = mFailed || bool(ec);
+  co_return ec;
+}
+
+const ResponseHeader& HttpClientConnection::Header() const
+{
+  return mParser->get().base();
+}
+
+std::optional<uint64_t> HttpClientConnection::BodyLength() const
+{
+  const auto n = mParser->content_length();
+  return n ? std::optional<uint64_t>(*n) : std::nullopt;
+}
+
+Awaitable<Result<size_t>> HttpClientConnection::ReadSome(char* aData,
+                                                         size_t aSize,
+                                                         Duration aTimeout)
+{
+  auto& body = mParser->get().body();
+  while (!mParser->is_done()) {
+    body.data = aData;
+    body.size = aSize;
+    ErrorCode ec;
+    mStream.expires_after(aTimeout);
+    co_await http::async_read_some(mStream, mBuffer, *mParser, Into(ec));
+    if (ec && ec != http::error::need_buffer) {
+      mFailed = true;
+      co_return Error{ ResultCode::AnswerIncomplete,
+                       "answer ended early: " + ec.message(),
+                       {} };
+    }
+    const size_t n = aSize - body.size;
+    if (n > 0) {
+      co_return n;
+    }
+  }
+  co_return size_t(0);
+}
+
+bool HttpClientConnection::IsReusable() const
+{
+  return !mFailed && mRequestDone && mParser && mParser->is_done() &&
+         mParser->get().keep_alive() && mBuffer.size() == 0;
+}
+
+bool HttpClientConnection::IsStale()
+{
+  char byte;
+  ErrorCode ec;
+  mStream.socket().non_blocking(true, ec);
+  mStream.socket().receive(
+    asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec != asio::error::would_block;
+}
+
+void HttpClientConnection::Close()
+{
+  ErrorCode ec;
+  mFailed = true;
+  mStream.socket().close(ec);
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HttpClientConnection.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "HttpTypes.h"
+#include "Result.h"
+#include "Time.h"
+
+#include <memory>
+#include <optional>
+
+namespace pollenway {
+
+/// Client side of one HTTP/1.1 connection: one exchange at a time, bodies
+/// streamed. Not reused after any error or time-out.
+class HttpClientConnection
+{
+public:
+  explicit HttpClientConnection(asio::any_io_executor aExecutor);
+
+  /// Connects. `PeerUnavailable` if it is refused or takes too long.
+  Awaitable<Result<void>> Connect(tcp::endpoint aEndpoint, Duration aTimeout);
+
+  /// Bytes of the current request handed to the socket.
+  uint64_t BytesSent() const { return mBytesSent; }
+
+  Awaitable<ErrorCode> WriteHeader(RequestHeader aHeader, Duration aTimeout);
+  Awaitable<ErrorCode> WriteSome(const char* aData,
+                                 size_t aSize,
+                                 Duration aTimeout);
+  Awaitable<ErrorCode> FinishRequest(Duration aTimeout);
+  /// Writes header and body in one piece.
+  Awaitable<ErrorCode> Write(TextRequest aRequest, Duration aTimeout);
+
+  /// Reads the answer's header; skips "100 Continue".
+  Awaitable<ErrorCode> ReadHeader(Duration aTimeout);
+  const ResponseHeader& Header() const;
+  std::optional<uint64_t> BodyLength() const;
+  /// Bytes read; 0 at the end of the answer. `AnswerIncomplete` if it is cut.
+  Awaitable<Result<size_t>> ReadSome(char* aData,
+                                     size_t aSize,
+                                     Duration aTimeout);
+  bool IsAnswerDone() const { return mParser && mParser->is_done(); }
+
+  /// True if the exchange ended cleanly and both sides keep the connection.
+  bool IsReusable() const;
+  /// True if the peer closed the idle connection or sent unexpected bytes.
+  bool IsStale();
+  void SetMethodIsHead(bool aIsHead) { mIsHead = aIsHead; }
+  void Close();
+
+private:
+  using Parser = http::response_parser<http::buffer_body>;
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+  std::optional<Parser> mParser;
+  uint64_t mBytesSent = 0;
+  bool mChunked = false;
+  bool mFailed = false;
+  bool mRequestDone = false;
+  bool mIsHead = false;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HttpClientPool.cpp
@@ -0,0 +1,90 @@
+#include "HttpClientPool.h"
+
+namespace pollenway {
+
+HttpClientPool::HttpClientPool(asio::any_io_executor aExecutor,
+                               HttpClientPoolOptions aOptions)
+  : mExecutor(aExecutor)
+  , mOptions(aOptions)
+{
+}
+
+Awaitable<Result<std::unique_ptr<HttpClientConnection>>>
+HttpClientPool::Acquire(tcp::endpoint aEndpoint, Duration aMaxIdle)
+{
+  const auto oldest =
+    std::chrono::steady_clock::now() - std::min(aMaxIdle, mOptions.mMaxIdle);
+  auto& idle = mIdle[aEndpoint];
+  while (!idle.empty()) {
+    auto entry = std::move(idle.back());
+    idle.pop_back();
+    if (entry.mSince > oldest && !entry.mConnection->IsStale()) {
+      co_return std::move(entry.mConnection);
+    }
+  }
+  auto connection = std::make_unique<HttpClientConnection>(mExecutor);
+  auto connected =
+    co_await connection->Connect(aEndpoint, mOptions.mConnectTimeout);
+  if (!connected) {
+    co_return connected.error();
+  }
+  co_return std::move(connection);
+}
+
+void HttpClientPool::Release(tcp::endpoint aEndpoint,
+                             std::unique_ptr<HttpClientConnection> aConnection)
+{
+  auto& idle = mIdle[aEndpoint];
+  if (!aConnection->IsReusable() ||
+      idle.size() >= mOptions.mMaxIdlePerEndpoint) {
+    return;
+  }
+  idle.push_back({ std::move(aConnection), std::chrono::steady_clock::now() });
+}
+
+void HttpClientPool::Drop(tcp::endpoint aEndpoint)
+{
+  mIdle.erase(aEndpoint);
+}
+
+Awaitable<Result<TextResponse>> HttpClientPool::Exchange(
+  tcp::endpoint aEndpoint,
+  TextRequest aRequest,
+  Duration aTimeout,
+  size_t aAnswerLimit)
+{
+  aRequest.prepare_payload();
+  auto acquired = co_await Acquire(aEndpoint, mOptions.mMaxIdle);
+  if (!acquired) {
+    co_return acquired.error();
+  }
+  auto connection = std::move(acquired.value());
+  ErrorCode ec = co_await connection->Write(std::move(aRequest), aTimeout);
+  if (!ec) {
+    ec = co_await connection->ReadHeader(aTimeout);
+  }
+  if (ec) {
+    co_return Error{ ResultCode::PeerUnavailable,
+                     "exchange failed: " + ec.message(),
+                     {} };
+  }
+  TextResponse answer(ResponseHeader(connection->Header()));
+  char buf[16 * 1024];
+  for (;;) {
+    auto n = co_await connection->ReadSome(buf, sizeof(buf), aTimeout);
+    if (!n) {
+      co_return n.error();
+    }
+    if (n.value() == 0) {
+      break;
+    }
+    answer.body().append(buf, n.value());
+    if (answer.body().size() > aAnswerLimit) {
+      co_return Error{ ResultCode::MessageTooLarge, "answer too large", {} };
+    }
+  }
+  Release(aEndpoint, std::move(connection));
+  co_return answer;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HttpClientPool.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "HttpClientConnection.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace pollenway {
+
+struct HttpClientPoolOptions
+{
+  Duration mConnectTimeout = std::chrono::seconds(1);
+  /// Idle connections are closed after this time.
+  Duration mMaxIdle = std::chrono::seconds(20);
+  size_t mMaxIdlePerEndpoint = 32;
+};
+
+/// Keeps idle connections to each endpoint. A connection is handed back only
+/// after a complete exchange; closed or unexpectedly readable ones are dropped
+/// before use.
+class HttpClientPool
+{
+public:
+  HttpClientPool(asio::any_io_executor aExecutor,
+                 HttpClientPoolOptions aOptions);
+
+  /// An idle connection no older than `aMaxIdle`, or a new one. Zero always
+  /// connects anew: needed where a request must not meet a connection that the
+  /// other side is just closing.
+  Awaitable<Result<std::unique_ptr<HttpClientConnection>>> Acquire(
+    tcp::endpoint aEndpoint,
+    Duration aMaxIdle);
+
+  void Release(tcp::endpoint aEndpoint,
+               std::unique_ptr<HttpClientConnection> aConnection);
+  /// Closes the idle connections of an endpoint.
+  void Drop(tcp::endpoint aEndpoint);
+
+  /// One whole exchange with a small answer.
+  Awaitable<Result<TextResponse>> Exchange(tcp::endpoint aEndpoint,
+                                           TextRequest aRequest,
+                                           Duration aTimeout,
+                                           size_t aAnswerLimit);
+
+private:
+  struct IdleConnection
+  {
+    std::unique_ptr<HttpClientConnection> mConnection;
+    std::chrono::steady_clock::time_point mSince;
+  };
+
+  asio::any_io_executor mExecutor;
+  HttpClientPoolOptions mOptions;
+  std::map<tcp::endpoint, std::deque<IdleConnection>> mIdle;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HttpConnection.cpp
@@ -0,0 +1,252 @@
+#include "HttpConnection.h"
+
+#include <boost/asio/write.hpp>
+
+#include <limits>
+
+namespace pollenway {
+
+HttpConnection::HttpConnection(tcp::socket aSocket, HttpLimits aLimits)
+  : mStream(std::move(aSocket))
+  , mLimits(aLimits)
+{
+  ErrorCode ec;
+  mStream.socket().set_option(tcp::no_delay(true), ec);
+  mPeer = mStream.socket().remote_endpoint(ec);
+}
+
+Awaitable<bool> HttpConnection::ReadHeader()
+{
+  mOnDisconnect = nullptr;
+  mAnswered = false;
+  mContinueSent = false;
+  mIdle = true;
+  mParser.emplace();
+  mParser->header_limit(mLimits.mHeaderBytes);
+  mParser->body_limit(std::numeric_limits<uint64_t>::max());
+  ErrorCode ec;
+  if (mBuffer.size() == 0) {
+    // The keep-alive limit holds until the first byte, the header's after it.
+    mStream.expires_after(mLimits.mKeepAliveTimeout);
+    const size_t n =
+      co_await mStream.async_read_some(mBuffer.prepare(4096), Into(ec));
+    if (ec) {
+      co_return false;
+    }
+    mBuffer.commit(n);
+  }
+  mIdle = false;
+  mStream.expires_after(mLimits.mHeaderTimeout);
+  co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
+  if (!ec) {
+    co_return true;
+  }
+  const bool malformed =
+    ec.category() ==
+      http::make_error_code(http::error::bad_target).category() &&
+    ec != http::error::end_of_stream && ec != http::error::partial_message;
+  if (malformed) {
+    TextResponse answer(http::status::bad_request, 11);
+    answer.set("Pollenway-Outcome", std::string(Name(Outcome::NotRun)));
+    answer.set("Pollenway-Code", std::to_string(int(ResultCode::BadRequest)));
+    answer.body() = "malformed request: " + ec.message() + "\n";
+    CloseAfterAnswer();
+    co_await Write(std::move(answer));
+  }
+  co_return false;
+}
+
+const RequestHeader& HttpConnection::Header() const
+{
+  return mParser->get().base();
+}
+
+bool HttpConnection::IsKeepAlive() const
+{
+  return mParser->get().keep_alive() && !mCloseAfterAnswer;
+}
+
+std::optional<uint64_t> HttpConnection::BodyLength() const
+{
+  if (mParser->chunked()) {
+    return std::nullopt;
+  }
+  const auto n = mParser->content_length();
+  return n ? *n : 0;
+}
+
+bool HttpConnection::ExpectsContinue() const
+{
+  return beast::iequals(Header()[http::field::expect], "100-continue");
+}
+
+Awaitable<ErrorCode> HttpConnection::SendContinue()
+{
+  ErrorCode ec;
+  if (!ExpectsContinue() || mContinueSent) {
+    co_return ec;
+  }
+  mContinueSent = true;
+  http::response<http::empty_body> answer(http::status::continue_, 11);
+  mStream.expires_after(mLimits.mIdleTimeout);
+  co_await http::async_write(mStream, answer, Into(ec));
+  co_return ec;
+}
+
+Awaitable<Result<size_t>> HttpConnection::ReadSome(char* aData, size_t aSize)
+{
+  auto& body = mParser->get().body();
+  while (!mParser->is_done()) {
+    body.data = aData;
+    body.size = aSize;
+    ErrorCode ec;
+    mStream.expires_after(mLimits.mIdleTimeout);
+    co_await http::async_read_some(mStream, mBuffer, *mParser, Into(ec));
+    if (ec && ec != http::error::need_buffer) {
+      co_return Error{ ResultCode::BadRequest,
+                       "request body ended early: " + ec.message(),
+                       {} };
+    }
+    const size_t n = aSize - body.size;
+    if (n > 0) {
+      co_return n;
+    }
+  }
+  co_return size_t(0);
+}
+
+Awaitable<Result<std::string>> HttpConnection::ReadBody(size_t aLimit)
+{
+  std::string body;
+  char buf[16 * 1024];
+  for (;;) {
+    auto n = co_await ReadSome(buf, sizeof(buf));
+    if (!n) {
+      co_return n.error();
+    }
+    if (n.value() == 0) {
+      co_return body;
+    }
+    if (body.size() + n.value() > aLimit) {
+      co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
+    }
+    body.append(buf, n.value());
+  }
+}
+
+bool HttpConnection::IsBodyDone() const
+{
+  return mParser->is_done();
+}
+
+void HttpConnection::PrepareAnswer(ResponseHeader& aHeader)
+{
+  mAnswered = true;
+  // An unread body would be taken for the next request.
+  if (!mParser || !mParser->is_done()) {
+    mCloseAfterAnswer = true;
+  }
+  if (!IsKeepAlive()) {
+    mCloseAfterAnswer = true;
+    aHeader.set(http::field::connection, "close");
+  } else {
+    aHeader.erase(http::field::connection);
+  }
+}
+
+Awaitable<ErrorCode> HttpConnection::Write(TextResponse aResponse)
+{
+  PrepareAnswer(aResponse);
+  aResponse.content_length(aResponse.body().size());
+  ErrorCode ec;
+  mStream.expires_after(mLimits.mIdleTimeout);
+  if (mParser && mParser->get().method() == http::verb::head) {
+    http::response_serializer<http::string_body> serializer(aResponse);
+    co_await http::async_write_header(mStream, serializer, Into(ec));
+  } else {
+    co_await http::async_write(mStream, aResponse, Into(ec));
+  }
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpConnection::WriteHeader(ResponseHeader aHeader)
+{
+  PrepareAnswer(aHeader);
+  http::response<http::empty_body> answer(std::move(aHeader));
+  mChunked = answer.find(http::field::content_length) == answer.end();
+  if (mChunked) {
+    answer.set(http::field::transfer_encoding, "chunked");
+  }
+  http::response_serializer<http::empty_body> serializer(answer);
+  ErrorCode ec;
+  mStream.expires_after(mLimits.mIdleTimeout);
+  co_await http::async_write_header(mStream, serializer, Into(ec));
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpConnection::WriteSome(const char* aData, size_t aSize)
+{
+  ErrorCode ec;
+  if (aSize == 0) {
+    co_return ec;
+  }
+  mStream.expires_after(mLimits.mIdleTimeout);
+  const auto buf = asio::buffer(aData, aSize);
+  if (mChunked) {
+    co_await asio::async_write(mStream, http::make_chunk(buf), Into(ec));
+  } else {
+    co_await asio::async_write(mStream, buf, Into(ec));
+  }
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpConnection::FinishAnswer()
+{
+  ErrorCode ec;
+  if (mChunked) {
+    mStream.expires_after(mLimits.mIdleTimeout);
+    co_await asio::async_write(mStream, http::make_chunk_last(), Into(ec));
+  }
+  co_return ec;
+}
+
+void HttpConnection::WatchDisconnect(std::function<void()> aCallback)
+{
+  mOnDisconnect = std::move(aCallback);
+  if (mWatching || mBuffer.size() > 0) {
+    return;
+  }
+  mWatching = true;
+  mStream.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this()](const ErrorCode& aError) {
+      self->OnReadable(aError);
+    });
+}
+
+void HttpConnection::OnReadable(const ErrorCode& aError)
+{
+  mWatching = false;
+  if (aError || mAnswered || !mOnDisconnect) {
+    return;
+  }
+  char byte;
+  ErrorCode ec;
+  mStream.socket().non_blocking(true, ec);
+  const size_t n = mStream.socket().receive(
+    asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  // Readable data is a pipelined request; only an end or an error is a
+  // disconnect.
+  if (n == 0 && ec != asio::error::would_block) {
+    auto callback = std::exchange(mOnDisconnect, nullptr);
+    callback();
+  }
+}
+
+void HttpConnection::Abort()
+{
+  ErrorCode ec;
+  mStream.socket().close(ec);
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HttpServer.cpp
@@ -0,0 +1,135 @@
+#include "HttpServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace pollenway {
+
+namespace {
+
+constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(20);
+
+} // namespace
+
+HttpServer::HttpServer(asio::any_io_executor aExecutor,
+                       HttpLimits aLimits,
+                       Handler aHandler)
+  : mExecutor(aExecutor)
+  , mLimits(aLimits)
+  , mHandler(std::move(aHandler))
+  , mAcceptor(aExecutor)
+{
+}
+
+Result<void> HttpServer::Listen(const std::string& aAddress, uint16_t aPort)
+{
+  ErrorCode ec;
+  const auto address = asio::ip::make_address(aAddress, ec);
+  const tcp::endpoint endpoint(address, aPort);
+  if (!ec) {
+    mAcceptor.open(endpoint.protocol(), ec);
+  }
+  if (!ec) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return Error{ ResultCode::InvalidState,
+                  "can't listen on " + aAddress + ":" + std::to_string(aPort) +
+                    ": " + ec.message(),
+                  {} };
+  }
+  asio::co_spawn(mExecutor, Accept(), asio::detached);
+  return outcome::success();
+}
+
+uint16_t HttpServer::Port() const
+{
+  ErrorCode ec;
+  return mAcceptor.local_endpoint(ec).port();
+}
+
+Awaitable<void> HttpServer::Accept()
+{
+  while (!mStopping) {
+    ErrorCode ec;
+    tcp::socket socket(mExecutor);
+    co_await mAcceptor.async_accept(socket, Into(ec));
+    if (ec == asio::error::operation_aborted || mStopping) {
+      co_return;
+    }
+    if (ec) {
+      // Out of file descriptors, for instance: accept again a little later.
+      asio::steady_timer timer(mExecutor, kAcceptRetryDelay);
+      co_await timer.async_wait(Into(ec));
+      continue;
+    }
+    auto connection =
+      std::make_shared<HttpConnection>(std::move(socket), mLimits);
+    mConnections.insert(connection);
+    asio::co_spawn(mExecutor, Serve(connection), asio::detached);
+  }
+}
+
+Awaitable<void> HttpServer::Serve(std::shared_ptr<HttpConnection> aConnection)
+{
+  for (;;) {
+    // g++ 12 destroys an awaitable twice if it is awaited in a loop condition.
+    const bool hasRequest = co_await aConnection->ReadHeader();
+    if (!hasRequest) {
+      break;
+    }
+    if (mStopping) {
+      aConnection->CloseAfterAnswer();
+    }
+    co_await mHandler(*aConnection);
+    if (!aConnection->HasAnswered() || aConnection->ClosesAfterAnswer() ||
+        !aConnection->IsKeepAlive()) {
+      break;
+    }
+    if (mStopping) {
+      break;
+    }
+  }
+  mConnections.erase(aConnection);
+  aConnection->Abort();
+}
+
+void HttpServer::StopGracefully()
+{
+  mStopping = true;
+  ErrorCode ec;
+  mAcceptor.close(ec);
+  for (const auto& it : mConnections) {
+    if (it->IsIdle()) {
+      it->Abort();
+    } else {
+      it->CloseAfterAnswer();
+    }
+  }
+}
+
+void HttpServer::Abort()
+{
+  StopGracefully();
+  for (const auto& it : mConnections) {
+    it->Abort();
+  }
+}
+
+size_t HttpServer::BusyConnections() const
+{
+  size_t n = 0;
+  for (const auto& it : mConnections) {
+    n += it->IsIdle() ? 0 : 1;
+  }
+  return n;
+}
+
+} // namespace pollenway
