--- a/src/ClientBlock.h
+++ b/src/ClientBlock.h
@@ -12,6 +12,8 @@
   /// CIDR notation, IPv4 or IPv6, for instance "203.0.113.0/24".
   std::string mPrefix;
   RegionName mRegion;
+
+  bool operator==(const ClientBlock&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Inventory.cpp
+++ b/src/Inventory.cpp
@@ -27,6 +27,57 @@
            aRoute.mMethods.end();
 }
 
+bool HasPrefix(std::string_view aPath, std::string_view aPrefix)
+{
+  if (aPrefix.empty() || aPath.substr(0, aPrefix.size()) != aPrefix) {
+    return false;
+  }
+  return aPath.size() == aPrefix.size() || aPrefix.back() == '/' ||
+         aPath[aPrefix.size()] == '/' || aPath[aPrefix.size()] == '?';
+}
+
+// Reads the first character of `aText`, percent-decoded, and removes it.
+char TakeDecoded(std::string_view& aText)
+{
+  const auto encodes = [&](char aUpper, char aLower) {
+    return aText.size() >= 3 && aText[0] == '%' && aText[1] == '2' &&
+           (aText[2] == aUpper || aText[2] == aLower);
+  };
+  char result = aText[0];
+  size_t length = 1;
+  if (encodes('E', 'e')) {
+    result = '.';
+    length = 3;
+  } else if (encodes('F', 'f')) {
+    result = '/';
+    length = 3;
+  }
+  aText.remove_prefix(length);
+  return result;
+}
+
+bool HasDotSegment(std::string_view aPath)
+{
+  std::string_view rest = aPath.substr(0, aPath.find('?'));
+  size_t dots = 0;
+  bool onlyDots = true;
+  while (!rest.empty()) {
+    const char it = TakeDecoded(rest);
+    if (it == '/' || it == '\\') {
+      if (onlyDots && (dots == 1 || dots == 2)) {
+        return true;
+      }
+      dots = 0;
+      onlyDots = true;
+    } else if (it == '.') {
+      ++dots;
+    } else {
+      onlyDots = false;
+    }
+  }
+  return onlyDots && (dots == 1 || dots == 2);
+}
+
 } // namespace
 
 const Region* Inventory::FindRegion(const RegionName& aName) const
@@ -81,12 +132,14 @@
                                             std::string_view aPath) const
 {
   RouteMatch best;
+  if (HasDotSegment(aPath)) {
+    return best;
+  }
   for (const auto& service : mServices) {
     for (const auto& route : service.mRoutes) {
       const bool longer = !best.mRoute || route.mPathPrefix.size() >
                                             best.mRoute->mPathPrefix.size();
-      if (longer &&
-          aPath.substr(0, route.mPathPrefix.size()) == route.mPathPrefix &&
+      if (longer && HasPrefix(aPath, route.mPathPrefix) &&
           HasMethod(route, aMethod)) {
         best = { &service, &route };
       }
--- a/src/Inventory.h
+++ b/src/Inventory.h
@@ -34,6 +34,8 @@
   std::vector<ClientBlock> mClientBlocks;
   std::vector<ShiftDeclaration> mShifts;
 
+  bool operator==(const Inventory&) const = default;
+
   // Look-ups by name; null if there is no such element.
   const Region* FindRegion(const RegionName& aName) const;
   const Place* FindPlace(const PlaceName& aName) const;
@@ -49,7 +51,11 @@
   const Place* ResolvePlace(const PlaceName& aName) const;
 
   /// The service and route with the longest path prefix that matches; nulls
-  /// if none does. `aPath` may carry a query.
+  /// if none does. A prefix matches whole path segments: "/stock" matches
+  /// "/stock", "/stock/7" and "/stock?id=7", not "/stocktake". `aPath` may
+  /// carry a query. A path with a "." or ".." segment, also percent-encoded,
+  /// matches nothing: a backend server that resolves it could run another
+  /// route's request without that route's access check.
   struct RouteMatch
   {
     const Service* mService = nullptr;
--- /dev/null
+++ b/src/InventoryReader.cpp
@@ -0,0 +1,304 @@
+#include "InventoryReader.h"
+
+#include "InventoryRules.h"
+#include "InventoryTexts.h"
+#include "JsonFields.h"
+#include "JsonNames.h"
+#include "JsonParse.h"
+#include "NetworkPrefix.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace pollenway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The largest integer that every JSON tool keeps exactly.
+constexpr uint64_t kHighestGeneration = 9007199254740991;
+constexpr double kHighestRate = 1e9;
+constexpr double kHighestBitsPerSecond = 1e13;
+constexpr double kHighestLatencyMs = 60000;
+constexpr double kLowestWeight = 0.001;
+constexpr double kHighestWeight = 1000;
+constexpr double kLowestShare = 1e-6;
+constexpr uint64_t kHighestQueueLimit = 65535;
+constexpr uint64_t kHighestSlots = 100000;
+constexpr uint64_t kHighestConnections = 1000000;
+constexpr size_t kLongestPathPrefix = 256;
+constexpr size_t kLongestReason = 200;
+constexpr size_t kDigestLength = 64;
+constexpr std::string_view kReservedPrefix = "/.pollenway";
+
+Region ReadRegion(JsonFields& aFields)
+{
+  Region result;
+  result.mName = RequiredName<RegionName>(aFields, "name");
+  const auto zones = aFields.RequiredStrings("zones");
+  for (size_t n = 0; n < zones.size(); ++n) {
+    if (IsValidName(zones[n])) {
+      result.mZones.emplace_back(zones[n]);
+      continue;
+    }
+    result.mZones.emplace_back();
+    aFields.FailElement(
+      ResultCode::OutOfRange, "zones", n, Quoted(zones[n]) + " is not a name");
+  }
+  result.mCapacity = aFields.RequiredNumber("capacity_rps", 0, kHighestRate);
+  return result;
+}
+
+RegionLink ReadLink(JsonFields& aFields)
+{
+  return {
+    .mFrom = RequiredName<RegionName>(aFields, "from"),
+    .mTo = RequiredName<RegionName>(aFields, "to"),
+    .mBitsPerSecond =
+      aFields.RequiredNumber("bits_per_second", 1, kHighestBitsPerSecond),
+    .mLatencyMs = aFields.RequiredNumber("latency_ms", 0, kHighestLatencyMs),
+  };
+}
+
+Place ReadPlace(JsonFields& aFields)
+{
+  return {
+    .mName = RequiredName<PlaceName>(aFields, "name"),
+    .mZone = RequiredName<ZoneName>(aFields, "zone"),
+    .mState = aFields.OptionalEnum("state", Lifecycle::Live, kLifecycleTexts),
+    .mSuccessor = OptionalName<PlaceName>(aFields, "successor"),
+  };
+}
+
+bool IsPathCharacter(char aChar)
+{
+  return aChar > ' ' && aChar < 0x7f && aChar != '?' && aChar != '#' &&
+         aChar != '"' && aChar != '\\';
+}
+
+bool IsPathPrefix(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= kLongestPathPrefix &&
+         aText[0] == '/' &&
+         std::all_of(aText.begin(), aText.end(), IsPathCharacter);
+}
+
+bool IsMethod(std::string_view aText)
+{
+  return !aText.empty() && aText.size() <= 16 &&
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           return aChar >= 'A' && aChar <= 'Z';
+         });
+}
+
+Route ReadRoute(JsonFields& aFields)
+{
+  Route result;
+  if (const auto prefix = aFields.TryString("path_prefix")) {
+    if (!IsPathPrefix(*prefix)) {
+      aFields.Fail(ResultCode::OutOfRange,
+                   "path_prefix",
+                   Quoted(*prefix) +
+                     " is not a path that starts with \"/\" and has no query");
+    } else if (prefix->starts_with(kReservedPrefix)) {
+      aFields.Fail(ResultCode::Conflict,
+                   "path_prefix",
+                   "paths under " + Quoted(kReservedPrefix) + " are reserved");
+    } else {
+      result.mPathPrefix = *prefix;
+    }
+  }
+  result.mMethods = aFields.OptionalStrings("methods");
+  const auto begin = result.mMethods.begin();
+  for (size_t n = 0; n < result.mMethods.size(); ++n) {
+    const std::string& method = result.mMethods[n];
+    if (!IsMethod(method)) {
+      aFields.FailElement(ResultCode::OutOfRange,
+                          "methods",
+                          n,
+                          Quoted(method) +
+                            " is not a method in capital letters");
+    } else if (std::find(begin, begin + n, method) != begin + n) {
+      aFields.FailElement(ResultCode::Duplicate,
+                          "methods",
+                          n,
+                          Quoted(method) + " appears more than once");
+    }
+  }
+  result.mAccess =
+    aFields.OptionalEnum("access", RouteAccess::Keyed, kRouteAccessTexts);
+  result.mExecution = aFields.OptionalEnum(
+    "execution", RouteExecution::AtMostOnce, kRouteExecutionTexts);
+  return result;
+}
+
+Service ReadService(JsonFields& aFields)
+{
+  Service result;
+  result.mName = RequiredName<ServiceName>(aFields, "name");
+  result.mTimeout =
+    aFields.OptionalMilliseconds("timeout_ms", result.mTimeout, 1ms, 1h);
+  result.mLookupTtl =
+    aFields.OptionalMilliseconds("lookup_ttl_ms", result.mLookupTtl, 1ms, 1h);
+  result.mIdleTimeout = aFields.OptionalMilliseconds(
+    "idle_timeout_ms", result.mIdleTimeout, 1ms, 1h);
+  result.mQueueLimit = static_cast<unsigned>(aFields.OptionalInteger(
+    "queue_limit", result.mQueueLimit, 0, kHighestQueueLimit));
+  aFields.RequiredObjects("routes", [&](JsonFields& aRoute) {
+    result.mRoutes.push_back(ReadRoute(aRoute));
+  });
+  return result;
+}
+
+Target ReadTarget(JsonFields& aFields)
+{
+  const Target defaults;
+  return {
+    .mName = RequiredName<TargetName>(aFields, "name"),
+    .mService = RequiredName<ServiceName>(aFields, "service"),
+    .mPlace = RequiredName<PlaceName>(aFields, "place"),
+    .mAddress = RequiredAddress(aFields, "address"),
+    .mPort = static_cast<uint16_t>(aFields.RequiredInteger("port", 1, 65535)),
+    .mSlots =
+      static_cast<unsigned>(aFields.RequiredInteger("slots", 1, kHighestSlots)),
+    .mConnections = static_cast<unsigned>(aFields.OptionalInteger(
+      "connections", defaults.mConnections, 1, kHighestConnections)),
+    .mState = aFields.OptionalEnum("state", Lifecycle::Live, kLifecycleTexts),
+  };
+}
+
+Workspace ReadWorkspace(JsonFields& aFields)
+{
+  return {
+    .mName = RequiredName<WorkspaceName>(aFields, "name"),
+    .mRate = aFields.RequiredNumber("rate", 0, kHighestRate),
+    .mBurst = aFields.RequiredNumber("burst", 0, kHighestRate),
+    .mWeight =
+      aFields.OptionalNumber("weight", 1, kLowestWeight, kHighestWeight),
+  };
+}
+
+std::string ReadDigest(JsonFields& aFields)
+{
+  std::string result = aFields.TryString("digest").value_or("");
+  for (char& it : result) {
+    it = it >= 'A' && it <= 'F' ? static_cast<char>(it - 'A' + 'a') : it;
+  }
+  if (aFields.Has("digest") &&
+      (result.size() != kDigestLength ||
+       result.find_first_not_of("0123456789abcdef") != std::string::npos)) {
+    // The text is not repeated: it may be a key pasted in its place.
+    aFields.Fail(ResultCode::OutOfRange,
+                 "digest",
+                 "must be a SHA-256 digest of 64 hexadecimal digits");
+    return "";
+  }
+  return result;
+}
+
+TenantKey ReadKey(JsonFields& aFields)
+{
+  return {
+    .mId = RequiredName<KeyId>(aFields, "id"),
+    .mWorkspace = RequiredName<WorkspaceName>(aFields, "workspace"),
+    .mDigest = ReadDigest(aFields),
+    .mWithdrawn = aFields.OptionalBool("withdrawn", false),
+  };
+}
+
+ClientBlock ReadClientBlock(JsonFields& aFields)
+{
+  ClientBlock result;
+  if (const auto prefix = aFields.TryString("prefix")) {
+    if (NetworkPrefix::Parse(*prefix)) {
+      result.mPrefix = *prefix;
+    } else {
+      aFields.Fail(ResultCode::OutOfRange,
+                   "prefix",
+                   Quoted(*prefix) +
+                     " is not a CIDR prefix without bits after its length");
+    }
+  }
+  result.mRegion = RequiredName<RegionName>(aFields, "region");
+  return result;
+}
+
+ShiftDeclaration ReadShift(JsonFields& aFields)
+{
+  ShiftDeclaration result;
+  result.mName = RequiredName<ShiftName>(aFields, "name");
+  result.mService = RequiredName<ServiceName>(aFields, "service");
+  result.mFrom = RequiredName<RegionName>(aFields, "from");
+  result.mTo = RequiredName<RegionName>(aFields, "to");
+  result.mShare = aFields.OptionalNumber("share", result.mShare, 0, 1);
+  result.mStepCap =
+    aFields.OptionalNumber("step_cap", result.mStepCap, kLowestShare, 1);
+  // Required: a shift without a cap on its rate could overload a region.
+  result.mRateCap = aFields.RequiredNumber("rate_cap", 0, kHighestRate);
+  result.mFinalShare =
+    aFields.OptionalNumber("final_share", result.mFinalShare, 0, 1);
+  result.mPace =
+    aFields.OptionalMilliseconds("pace_ms", result.mPace, 0ms, 24h);
+  result.mMaxErrorShare =
+    aFields.OptionalNumber("max_error_share", result.mMaxErrorShare, 0, 1);
+  result.mMinHeadroom =
+    aFields.OptionalNumber("min_headroom", result.mMinHeadroom, 0, 1);
+  result.mState =
+    aFields.OptionalEnum("state", result.mState, kShiftStateTexts);
+  result.mReason = aFields.OptionalString("reason");
+  if (result.mReason.size() > kLongestReason) {
+    aFields.Fail(ResultCode::OutOfRange,
+                 "reason",
+                 "must have at most " + std::to_string(kLongestReason) +
+                   " bytes");
+  }
+  return result;
+}
+
+template<typename Element>
+void ReadList(JsonFields& aFields,
+              std::string_view aName,
+              std::vector<Element>& aList,
+              Element (*aRead)(JsonFields&))
+{
+  aFields.RequiredObjects(
+    aName, [&](JsonFields& aElement) { aList.push_back(aRead(aElement)); });
+}
+
+} // namespace
+
+Validated<Inventory> InventoryReader::Read(std::string_view aText)
+{
+  std::vector<Error> errors;
+  nlohmann::json document;
+  if (!ParseJson(aText, document, errors)) {
+    return errors;
+  }
+  Inventory result;
+  JsonFields fields(document, std::string(kDocumentPath), errors);
+  result.mGeneration =
+    fields.OptionalInteger("generation", 0, 0, kHighestGeneration);
+  // The lists are required, so that a forgotten one doesn't withdraw all of
+  // its elements.
+  ReadList(fields, "regions", result.mRegions, ReadRegion);
+  ReadList(fields, "links", result.mLinks, ReadLink);
+  ReadList(fields, "places", result.mPlaces, ReadPlace);
+  ReadList(fields, "services", result.mServices, ReadService);
+  ReadList(fields, "targets", result.mTargets, ReadTarget);
+  ReadList(fields, "workspaces", result.mWorkspaces, ReadWorkspace);
+  ReadList(fields, "keys", result.mKeys, ReadKey);
+  ReadList(fields, "client_blocks", result.mClientBlocks, ReadClientBlock);
+  ReadList(fields, "shifts", result.mShifts, ReadShift);
+  fields.Finish();
+  for (auto& it : CheckInventoryRules(result)) {
+    errors.push_back(std::move(it));
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  return result;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/InventoryRules.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Error.h"
+#include "Inventory.h"
+
+#include <vector>
+
+namespace pollenway {
+
+/// Checks the rules that concern more than one field of an inventory, and
+/// returns every violation with the path of its element. Codes: `Duplicate`
+/// (names, zones, digests, addresses, prefixes, overlapping routes),
+/// `UnknownReference` (a named element is not declared) and `Conflict`
+/// (declarations that contradict each other). Empty names are skipped:
+/// `InventoryReader` has already recorded an error for them.
+std::vector<Error> CheckInventoryRules(const Inventory& aInventory);
+
+} // namespace pollenway
--- /dev/null
+++ b/src/JsonFields.cpp
@@ -0,0 +1,367 @@
+#include "JsonFields.h"
+
+#include "JsonParse.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+
+namespace pollenway {
+
+namespace {
+
+using nlohmann::json;
+
+// Integers beyond 64 bits are parsed as doubles; above this size a double is
+// always a whole number.
+constexpr double kFirstDoubleWithoutFraction = 9007199254740992.0;
+
+std::string Range(const json& aLowest, const json& aHighest)
+{
+  return "must be from " + aLowest.dump() + " to " + aHighest.dump();
+}
+
+int64_t Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+} // namespace
+
+JsonFields::JsonFields(const nlohmann::json& aValue,
+                       std::string aPath,
+                       std::vector<Error>& aErrors)
+  : mPath(std::move(aPath))
+  , mErrors(aErrors)
+{
+  if (aValue.is_object()) {
+    mObject = &aValue;
+  } else {
+    mErrors.push_back(
+      { ResultCode::WrongType,
+        std::string("must be an object, not ") + aValue.type_name(),
+        mPath });
+  }
+}
+
+bool JsonFields::Has(std::string_view aName) const
+{
+  return mObject && mObject->contains(aName);
+}
+
+std::string JsonFields::PathOf(std::string_view aName) const
+{
+  return ChildPath(mPath, aName);
+}
+
+void JsonFields::Fail(ResultCode aCode,
+                      std::string_view aName,
+                      std::string aDetail)
+{
+  mErrors.push_back({ aCode, std::move(aDetail), PathOf(aName) });
+}
+
+void JsonFields::FailElement(ResultCode aCode,
+                             std::string_view aName,
+                             size_t aIndex,
+                             std::string aDetail)
+{
+  mErrors.push_back({ aCode,
+                      std::move(aDetail),
+                      ChildPath(PathOf(aName), std::to_string(aIndex)) });
+}
+
+const json* JsonFields::Find(std::string_view aName)
+{
+  mAsked.emplace(aName);
+  if (!mObject) {
+    return nullptr;
+  }
+  const auto it = mObject->find(aName);
+  return it == mObject->end() ? nullptr : &*it;
+}
+
+const json* JsonFields::FindRequired(std::string_view aName)
+{
+  const json* value = Find(aName);
+  if (!value && mObject) {
+    Fail(ResultCode::MissingField, aName, "the field is required");
+  }
+  return value;
+}
+
+bool JsonFields::ReadString(const json& aValue,
+                            std::string_view aName,
+                            std::string& aResult)
+{
+  if (!aValue.is_string()) {
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be a string, not ") + aValue.type_name());
+    return false;
+  }
+  aResult = aValue.get<std::string>();
+  return true;
+}
+
+std::optional<std::string> JsonFields::TryString(std::string_view aName)
+{
+  std::string result;
+  const json* value = FindRequired(aName);
+  if (!value || !ReadString(*value, aName, result)) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+std::string JsonFields::RequiredString(std::string_view aName)
+{
+  return TryString(aName).value_or("");
+}
+
+std::string JsonFields::OptionalString(std::string_view aName,
+                                       std::string_view aDefault)
+{
+  std::string result(aDefault);
+  if (const json* value = Find(aName)) {
+    ReadString(*value, aName, result);
+  }
+  return result;
+}
+
+bool JsonFields::OptionalBool(std::string_view aName, bool aDefault)
+{
+  const json* value = Find(aName);
+  if (!value) {
+    return aDefault;
+  }
+  if (!value->is_boolean()) {
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be true or false, not ") + value->type_name());
+    return aDefault;
+  }
+  return value->get<bool>();
+}
+
+void JsonFields::ReadInteger(const json& aValue,
+                             std::string_view aName,
+                             uint64_t aLowest,
+                             uint64_t aHighest,
+                             uint64_t& aResult)
+{
+  const bool tooLarge =
+    aValue.is_number_float() &&
+    std::abs(aValue.get<double>()) >= kFirstDoubleWithoutFraction;
+  if (!aValue.is_number_integer() && !tooLarge) {
+    const char* kind =
+      aValue.is_number_float() ? "a fraction" : aValue.type_name();
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be an integer, not ") + kind);
+    return;
+  }
+  // Negative integers are the only ones that the library keeps as signed.
+  const bool negative =
+    !tooLarge && !aValue.is_number_unsigned() && aValue.get<int64_t>() < 0;
+  if (tooLarge || negative || aValue.get<uint64_t>() < aLowest ||
+      aValue.get<uint64_t>() > aHighest) {
+    Fail(ResultCode::OutOfRange, aName, Range(aLowest, aHighest));
+    return;
+  }
+  aResult = aValue.get<uint64_t>();
+}
+
+uint64_t JsonFields::RequiredInteger(std::string_view aName,
+                                     uint64_t aLowest,
+                                     uint64_t aHighest)
+{
+  uint64_t result = aLowest;
+  if (const json* value = FindRequired(aName)) {
+    ReadInteger(*value, aName, aLowest, aHighest, result);
+  }
+  return result;
+}
+
+uint64_t JsonFields::OptionalInteger(std::string_view aName,
+                                     uint64_t aDefault,
+                                     uint64_t aLowest,
+                                     uint64_t aHighest)
+{
+  uint64_t result = aDefault;
+  if (const json* value = Find(aName)) {
+    ReadInteger(*value, aName, aLowest, aHighest, result);
+  }
+  return result;
+}
+
+void JsonFields::ReadNumber(const json& aValue,
+                            std::string_view aName,
+                            double aLowest,
+                            double aHighest,
+                            double& aResult)
+{
+  if (!aValue.is_number()) {
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be a number, not ") + aValue.type_name());
+    return;
+  }
+  const double number = aValue.get<double>();
+  if (number < aLowest || number > aHighest) {
+    Fail(ResultCode::OutOfRange, aName, Range(aLowest, aHighest));
+    return;
+  }
+  // Adding 0 turns -0 into 0, which is written differently.
+  aResult = number + 0.0;
+}
+
+double JsonFields::RequiredNumber(std::string_view aName,
+                                  double aLowest,
+                                  double aHighest)
+{
+  double result = aLowest;
+  if (const json* value = FindRequired(aName)) {
+    ReadNumber(*value, aName, aLowest, aHighest, result);
+  }
+  return result;
+}
+
+double JsonFields::OptionalNumber(std::string_view aName,
+                                  double aDefault,
+                                  double aLowest,
+                                  double aHighest)
+{
+  double result = aDefault;
+  if (const json* value = Find(aName)) {
+    ReadNumber(*value, aName, aLowest, aHighest, result);
+  }
+  return result;
+}
+
+Duration JsonFields::OptionalMilliseconds(std::string_view aName,
+                                          Duration aDefault,
+                                          Duration aLowest,
+                                          Duration aHighest)
+{
+  const auto ms = OptionalInteger(aName,
+                                  Milliseconds(aDefault),
+                                  Milliseconds(aLowest),
+                                  Milliseconds(aHighest));
+  return std::chrono::milliseconds(ms);
+}
+
+size_t JsonFields::Choice(std::string_view aName,
+                          std::span<const std::string_view> aTexts)
+{
+  const std::optional<std::string> text = TryString(aName);
+  std::string allowed;
+  for (size_t n = 0; n < aTexts.size(); ++n) {
+    if (text && aTexts[n] == *text) {
+      return n;
+    }
+    allowed += (n == 0 ? "" : ", ") + Quoted(aTexts[n]);
+  }
+  if (text) {
+    Fail(ResultCode::OutOfRange,
+         aName,
+         Quoted(*text) + " is not one of " + allowed);
+  }
+  return aTexts.size();
+}
+
+std::vector<std::string> JsonFields::ReadStrings(const json& aValue,
+                                                 std::string_view aName)
+{
+  std::vector<std::string> result;
+  if (!aValue.is_array()) {
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be an array of strings, not ") + aValue.type_name());
+    return result;
+  }
+  for (const json& it : aValue) {
+    if (it.is_string()) {
+      result.push_back(it.get<std::string>());
+      continue;
+    }
+    FailElement(ResultCode::WrongType,
+                aName,
+                result.size(),
+                std::string("must be a string, not ") + it.type_name());
+    result.emplace_back();
+  }
+  return result;
+}
+
+std::vector<std::string> JsonFields::OptionalStrings(std::string_view aName)
+{
+  const json* value = Find(aName);
+  return value ? ReadStrings(*value, aName) : std::vector<std::string>();
+}
+
+std::vector<std::string> JsonFields::RequiredStrings(std::string_view aName)
+{
+  const json* value = FindRequired(aName);
+  return value ? ReadStrings(*value, aName) : std::vector<std::string>();
+}
+
+void JsonFields::RequiredObject(std::string_view aName,
+                                const ObjectReader& aRead)
+{
+  if (const json* value = FindRequired(aName)) {
+    JsonFields fields(*value, PathOf(aName), mErrors);
+    aRead(fields);
+    fields.Finish();
+  }
+}
+
+void JsonFields::ReadObjects(const json& aValue,
+                             std::string_view aName,
+                             const ObjectReader& aRead)
+{
+  const std::string path = PathOf(aName);
+  if (!aValue.is_array()) {
+    Fail(ResultCode::WrongType,
+         aName,
+         std::string("must be an array of objects, not ") + aValue.type_name());
+    return;
+  }
+  size_t n = 0;
+  for (const json& it : aValue) {
+    JsonFields fields(it, ChildPath(path, std::to_string(n++)), mErrors);
+    aRead(fields);
+    fields.Finish();
+  }
+}
+
+void JsonFields::RequiredObjects(std::string_view aName,
+                                 const ObjectReader& aRead)
+{
+  if (const json* value = FindRequired(aName)) {
+    ReadObjects(*value, aName, aRead);
+  }
+}
+
+void JsonFields::OptionalObjects(std::string_view aName,
+                                 const ObjectReader& aRead)
+{
+  if (const json* value = Find(aName)) {
+    ReadObjects(*value, aName, aRead);
+  }
+}
+
+void JsonFields::Finish()
+{
+  if (!mObject) {
+    return;
+  }
+  for (const auto& it : mObject->items()) {
+    if (!mAsked.contains(it.key())) {
+      Fail(ResultCode::UnknownField, it.key(), "the field is not known");
+    }
+  }
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/JsonFields.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "Error.h"
+#include "Time.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pollenway {
+
+/// One row of a table that gives an enumeration's values their JSON text.
+template<typename Enum>
+struct EnumText
+{
+  std::string_view mText;
+  Enum mValue;
+};
+
+/// Checked access to the members of one JSON object. Each failure is recorded
+/// as an `Error` with the field's path, and reading goes on with the default
+/// (or an empty value), so that one pass finds all errors. Codes:
+/// `MissingField`, `WrongType`, `OutOfRange` and, by `Finish`, `UnknownField`.
+/// Limits are inclusive. The JSON value and the error list must outlive it.
+class JsonFields
+{
+public:
+  /// Records `WrongType` if `aValue` is not an object; then reads nothing.
+  JsonFields(const nlohmann::json& aValue,
+             std::string aPath,
+             std::vector<Error>& aErrors);
+
+  /// A required string, or nothing if an error was recorded.
+  std::optional<std::string> TryString(std::string_view aName);
+  std::string RequiredString(std::string_view aName);
+  std::string OptionalString(std::string_view aName,
+                             std::string_view aDefault = {});
+  bool OptionalBool(std::string_view aName, bool aDefault);
+
+  uint64_t RequiredInteger(std::string_view aName,
+                           uint64_t aLowest,
+                           uint64_t aHighest);
+  uint64_t OptionalInteger(std::string_view aName,
+                           uint64_t aDefault,
+                           uint64_t aLowest,
+                           uint64_t aHighest);
+  double RequiredNumber(std::string_view aName,
+                        double aLowest,
+                        double aHighest);
+  double OptionalNumber(std::string_view aName,
+                        double aDefault,
+                        double aLowest,
+                        double aHighest);
+
+  /// An integer number of milliseconds.
+  Duration OptionalMilliseconds(std::string_view aName,
+                                Duration aDefault,
+                                Duration aLowest,
+                                Duration aHighest);
+
+  template<typename Enum, size_t N>
+  Enum OptionalEnum(std::string_view aName,
+                    Enum aDefault,
+                    const EnumText<Enum> (&aTable)[N])
+  {
+    if (!Has(aName)) {
+      return aDefault;
+    }
+    std::vector<std::string_view> texts;
+    for (const auto& it : aTable) {
+      texts.push_back(it.mText);
+    }
+    const size_t row = Choice(aName, texts);
+    return row < N ? aTable[row].mValue : aDefault;
+  }
+
+  /// Strings of an array; an absent one is empty. An element that is not a
+  /// string is recorded and read as "", so that positions are kept.
+  std::vector<std::string> OptionalStrings(std::string_view aName);
+  std::vector<std::string> RequiredStrings(std::string_view aName);
+
+  using ObjectReader = std::function<void(JsonFields&)>;
+
+  /// Calls `aRead` for the object, then `Finish` on it.
+  void RequiredObject(std::string_view aName, const ObjectReader& aRead);
+
+  /// Calls `aRead` for each element of an array of objects, then `Finish`.
+  /// Called for elements of a wrong type too, so that positions are kept.
+  void RequiredObjects(std::string_view aName, const ObjectReader& aRead);
+  void OptionalObjects(std::string_view aName, const ObjectReader& aRead);
+
+  /// True if the member is present.
+  bool Has(std::string_view aName) const;
+
+  /// The path of a member, for instance "/targets/3/slots".
+  std::string PathOf(std::string_view aName) const;
+
+  /// Records an error of a member that the caller found itself.
+  void Fail(ResultCode aCode, std::string_view aName, std::string aDetail);
+
+  /// As above for one element of an array member.
+  void FailElement(ResultCode aCode,
+                   std::string_view aName,
+                   size_t aIndex,
+                   std::string aDetail);
+
+  /// Records `UnknownField` for each member that no call has asked for.
+  void Finish();
+
+private:
+  const nlohmann::json* Find(std::string_view aName);
+  const nlohmann::json* FindRequired(std::string_view aName);
+  bool ReadString(const nlohmann::json& aValue,
+                  std::string_view aName,
+                  std::string& aResult);
+  void ReadInteger(const nlohmann::json& aValue,
+                   std::string_view aName,
+                   uint64_t aLowest,
+                   uint64_t aHighest,
+                   uint64_t& aResult);
+  void ReadNumber(const nlohmann::json& aValue,
+                  std::string_view aName,
+                  double aLowest,
+                  double aHighest,
+                  double& aResult);
+  std::vector<std::string> ReadStrings(const nlohmann::json& aValue,
+                                       std::string_view aName);
+  void ReadObjects(const nlohmann::json& aValue,
+                   std::string_view aName,
+                   const ObjectReader& aRead);
+  size_t Choice(std::string_view aName,
+                std::span<const std::string_view> aTexts);
+
+  const nlohmann::json* mObject = nullptr;
+  std::string mPath;
+  std::vector<Error>& mErrors;
+  std::set<std::string, std::less<>> mAsked;
+};
+
+} // namespace pollenway
--- a/src/Place.h
+++ b/src/Place.h
@@ -13,6 +13,8 @@
   Lifecycle mState = Lifecycle::Live;
   /// Serves the callers of a retired place; empty if there is none.
   PlaceName mSuccessor;
+
+  bool operator==(const Place&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Region.h
+++ b/src/Region.h
@@ -13,6 +13,8 @@
   std::vector<ZoneName> mZones;
   /// Requests per second that the region may be given.
   double mCapacity = 0;
+
+  bool operator==(const Region&) const = default;
 };
 
 } // namespace pollenway
--- a/src/RegionLink.h
+++ b/src/RegionLink.h
@@ -12,6 +12,8 @@
   double mBitsPerSecond = 0;
   /// One-way latency in milliseconds, which orders regions by distance.
   double mLatencyMs = 0;
+
+  bool operator==(const RegionLink&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Route.h
+++ b/src/Route.h
@@ -28,6 +28,8 @@
   std::vector<std::string> mMethods;
   RouteAccess mAccess = RouteAccess::Keyed;
   RouteExecution mExecution = RouteExecution::AtMostOnce;
+
+  bool operator==(const Route&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Service.h
+++ b/src/Service.h
@@ -21,6 +21,8 @@
   Duration mIdleTimeout = std::chrono::seconds(30);
   /// Length of the queue before each target, in requests.
   unsigned mQueueLimit = 16;
+
+  bool operator==(const Service&) const = default;
 };
 
 } // namespace pollenway
--- a/src/ShiftDeclaration.h
+++ b/src/ShiftDeclaration.h
@@ -38,6 +38,8 @@
   ShiftState mState = ShiftState::Paused;
   /// Why it is paused; empty if an operator paused it.
   std::string mReason;
+
+  bool operator==(const ShiftDeclaration&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Target.h
+++ b/src/Target.h
@@ -22,6 +22,8 @@
   /// Connections that may be open, over all instances together.
   unsigned mConnections = 650;
   Lifecycle mState = Lifecycle::Live;
+
+  bool operator==(const Target&) const = default;
 };
 
 } // namespace pollenway
--- a/src/TenantKey.h
+++ b/src/TenantKey.h
@@ -14,6 +14,8 @@
   /// SHA-256 of the key in lower-case hexadecimal.
   std::string mDigest;
   bool mWithdrawn = false;
+
+  bool operator==(const TenantKey&) const = default;
 };
 
 } // namespace pollenway
--- a/src/Workspace.h
+++ b/src/Workspace.h
@@ -14,6 +14,8 @@
   double mBurst = 0;
   /// Share of a full target or region, relative to other workspaces.
   double mWeight = 1;
+
+  bool operator==(const Workspace&) const = default;
 };
 
 } // namespace pollenway
