--- /dev/null
+++ b/src/ElementKind.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+namespace pollenway {
+
+/// The kinds of elements that an inventory declares.
+enum class ElementKind
+{
+  Region,
+  Link,
+  Place,
+  Service,
+  Route,
+  Target,
+  Workspace,
+  Key,
+  ClientBlock,
+  Shift,
+};
+
+/// The kind in words, for instance "client block".
+std::string_view Name(ElementKind aKind);
+
+} // namespace pollenway
