--- a/src/EntrySettingsReader.cpp
+++ b/src/EntrySettingsReader.cpp
@@ -79,25 +79,25 @@
 std::vector<NetworkPrefix> ReadTrustedResolvers(JsonFields& aFields)
 {
   std::vector<NetworkPrefix> result;
-  const auto texts = aFields.OptionalStrings("trusted_resolvers");
-  for (size_t n = 0; n < texts.size(); ++n) {
-    const auto prefix = NetworkPrefix::Parse(texts[n]);
-    if (!prefix) {
-      aFields.FailElement(ResultCode::OutOfRange,
-                          "trusted_resolvers",
-                          n,
-                          Quoted(texts[n]) + " is not a CIDR prefix without "
-                                             "bits after its length");
-    } else if (std::find(result.begin(), result.end(), *prefix) !=
-               result.end()) {
-      aFields.FailElement(ResultCode::Duplicate,
-                          "trusted_resolvers",
-                          n,
-                          Quoted(texts[n]) + " is already listed");
-    } else {
-      result.push_back(*prefix);
-    }
-  }
+  aFields.OptionalStrings(
+    "trusted_resolvers", [&](size_t aIndex, const std::string& aText) {
+      const auto prefix = NetworkPrefix::Parse(aText);
+      if (!prefix) {
+        aFields.FailElement(ResultCode::OutOfRange,
+                            "trusted_resolvers",
+                            aIndex,
+                            Quoted(aText) + " is not a CIDR prefix without "
+                                            "bits after its length");
+      } else if (std::find(result.begin(), result.end(), *prefix) !=
+                 result.end()) {
+        aFields.FailElement(ResultCode::Duplicate,
+                            "trusted_resolvers",
+                            aIndex,
+                            Quoted(aText) + " is already listed");
+      } else {
+        result.push_back(*prefix);
+      }
+    });
   return result;
 }
 
--- a/src/InventoryReader.cpp
+++ b/src/InventoryReader.cpp
@@ -37,16 +37,19 @@
 {
   Region result;
   result.mName = RequiredName<RegionName>(aFields, "name");
-  const auto zones = aFields.RequiredStrings("zones");
-  for (size_t n = 0; n < zones.size(); ++n) {
-    if (IsValidName(zones[n])) {
-      result.mZones.emplace_back(zones[n]);
-      continue;
-    }
-    result.mZones.emplace_back();
-    aFields.FailElement(
-      ResultCode::OutOfRange, "zones", n, Quoted(zones[n]) + " is not a name");
-  }
+  aFields.RequiredStrings(
+    "zones", [&](size_t aIndex, const std::string& aText) {
+      // Keeps the position of each zone for later errors.
+      result.mZones.resize(aIndex + 1);
+      if (IsValidName(aText)) {
+        result.mZones.back() = ZoneName(aText);
+      } else {
+        aFields.FailElement(ResultCode::OutOfRange,
+                            "zones",
+                            aIndex,
+                            Quoted(aText) + " is not a name");
+      }
+    });
   result.mCapacity = aFields.RequiredNumber("capacity_rps", 0, kHighestRate);
   return result;
 }
@@ -110,23 +113,25 @@
       result.mPathPrefix = *prefix;
     }
   }
-  result.mMethods = aFields.OptionalStrings("methods");
-  const auto begin = result.mMethods.begin();
-  for (size_t n = 0; n < result.mMethods.size(); ++n) {
-    const std::string& method = result.mMethods[n];
-    if (!IsMethod(method)) {
-      aFields.FailElement(ResultCode::OutOfRange,
-                          "methods",
-                          n,
-                          Quoted(method) +
-                            " is not a method in capital letters");
-    } else if (std::find(begin, begin + n, method) != begin + n) {
-      aFields.FailElement(ResultCode::Duplicate,
-                          "methods",
-                          n,
-                          Quoted(method) + " appears more than once");
-    }
-  }
+  auto& methods = result.mMethods;
+  aFields.OptionalStrings(
+    "methods", [&](size_t aIndex, const std::string& aText) {
+      if (!IsMethod(aText)) {
+        aFields.FailElement(ResultCode::OutOfRange,
+                            "methods",
+                            aIndex,
+                            Quoted(aText) +
+                              " is not a method in capital letters");
+      } else if (std::find(methods.begin(), methods.end(), aText) !=
+                 methods.end()) {
+        aFields.FailElement(ResultCode::Duplicate,
+                            "methods",
+                            aIndex,
+                            Quoted(aText) + " appears more than once");
+      } else {
+        methods.push_back(aText);
+      }
+    });
   result.mAccess =
     aFields.OptionalEnum("access", RouteAccess::Keyed, kRouteAccessTexts);
   result.mExecution = aFields.OptionalEnum(
@@ -182,11 +187,12 @@
 
 std::string ReadDigest(JsonFields& aFields)
 {
-  std::string result = aFields.TryString("digest").value_or("");
+  const auto text = aFields.TryString("digest");
+  std::string result = text.value_or("");
   for (char& it : result) {
     it = it >= 'A' && it <= 'F' ? static_cast<char>(it - 'A' + 'a') : it;
   }
-  if (aFields.Has("digest") &&
+  if (text &&
       (result.size() != kDigestLength ||
        result.find_first_not_of("0123456789abcdef") != std::string::npos)) {
     // The text is not repeated: it may be a key pasted in its place.
--- a/src/JsonFields.cpp
+++ b/src/JsonFields.cpp
@@ -271,40 +271,43 @@
   return aTexts.size();
 }
 
-std::vector<std::string> JsonFields::ReadStrings(const json& aValue,
-                                                 std::string_view aName)
+void JsonFields::ReadStrings(const json& aValue,
+                             std::string_view aName,
+                             const StringReader& aRead)
 {
-  std::vector<std::string> result;
   if (!aValue.is_array()) {
     Fail(ResultCode::WrongType,
          aName,
          std::string("must be an array of strings, not ") + aValue.type_name());
-    return result;
+    return;
   }
-  for (const json& it : aValue) {
-    if (it.is_string()) {
-      result.push_back(it.get<std::string>());
-      continue;
+  for (size_t n = 0; n < aValue.size(); ++n) {
+    if (aValue[n].is_string()) {
+      aRead(n, aValue[n].get_ref<const std::string&>());
+    } else {
+      FailElement(ResultCode::WrongType,
+                  aName,
+                  n,
+                  std::string("must be a string, not ") +
+                    aValue[n].type_name());
     }
-    FailElement(ResultCode::WrongType,
-                aName,
-                result.size(),
-                std::string("must be a string, not ") + it.type_name());
-    result.emplace_back();
   }
-  return result;
 }
 
-std::vector<std::string> JsonFields::OptionalStrings(std::string_view aName)
+void JsonFields::RequiredStrings(std::string_view aName,
+                                 const StringReader& aRead)
 {
-  const json* value = Find(aName);
-  return value ? ReadStrings(*value, aName) : std::vector<std::string>();
+  if (const json* value = FindRequired(aName)) {
+    ReadStrings(*value, aName, aRead);
+  }
 }
 
-std::vector<std::string> JsonFields::RequiredStrings(std::string_view aName)
+void JsonFields::OptionalStrings(std::string_view aName,
+                                 const StringReader& aRead)
 {
-  const json* value = FindRequired(aName);
-  return value ? ReadStrings(*value, aName) : std::vector<std::string>();
+  if (const json* value = Find(aName)) {
+    ReadStrings(*value, aName, aRead);
+  }
 }
 
 void JsonFields::RequiredObject(std::string_view aName,
--- a/src/JsonFields.h
+++ b/src/JsonFields.h
@@ -81,10 +81,13 @@
     return row < N ? aTable[row].mValue : aDefault;
   }
 
-  /// Strings of an array; an absent one is empty. An element that is not a
-  /// string is recorded and read as "", so that positions are kept.
-  std::vector<std::string> OptionalStrings(std::string_view aName);
-  std::vector<std::string> RequiredStrings(std::string_view aName);
+  using StringReader =
+    std::function<void(size_t aIndex, const std::string& aText)>;
+
+  /// Calls `aRead` for each element of an array of strings. An element that is
+  /// not a string is recorded and left out; `aIndex` still counts it.
+  void RequiredStrings(std::string_view aName, const StringReader& aRead);
+  void OptionalStrings(std::string_view aName, const StringReader& aRead);
 
   using ObjectReader = std::function<void(JsonFields&)>;
 
@@ -130,8 +133,9 @@
                   double aLowest,
                   double aHighest,
                   double& aResult);
-  std::vector<std::string> ReadStrings(const nlohmann::json& aValue,
-                                       std::string_view aName);
+  void ReadStrings(const nlohmann::json& aValue,
+                   std::string_view aName,
+                   const StringReader& aRead);
   void ReadObjects(const nlohmann::json& aValue,
                    std::string_view aName,
                    const ObjectReader& aRead);
