--- /dev/null
+++ b/src/AccountHolder.cpp
@@ -0,0 +1,608 @@
+#include "AccountHolder.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenway {
+
+namespace {
+
+// Smaller parts of a token are not worth a message.
+constexpr double kMinPart = 0.05;
+constexpr double kRounding = 1e-9;
+// Retry-After where nothing is known of when tokens will be there.
+constexpr Duration kUnknownRetry = std::chrono::seconds(1);
+
+/// An instance numbers its requests separately in its two roles.
+std::string HolderKey(const AdmitRequest& aRequest)
+{
+  return (aRequest.mFromOwner ? "owner/" : "instance/") + aRequest.mFrom.Text();
+}
+
+} // namespace
+
+AccountHolder::AccountHolder(InstanceName aSelf,
+                             ZoneName aZone,
+                             std::vector<Peer> aPeers,
+                             Options aOptions)
+  : mSelf(std::move(aSelf))
+  , mZone(std::move(aZone))
+  , mOptions(aOptions)
+  , mBucket(0, 0, TimePoint{})
+  , mBalancer(mZone, aOptions.mBalancer)
+  , mDemand(aOptions.mDemandMemory)
+{
+  for (const auto& it : aPeers) {
+    mPeers.emplace(
+      it.mZone,
+      PeerZone{ .mLatency = it.mLatency,
+                .mDirect = DemandEstimate(aOptions.mDemandMemory) });
+  }
+}
+
+void AccountHolder::StartEmpty(TimePoint aNow)
+{
+  if (mState != State::Idle) {
+    return;
+  }
+  mState = State::Active;
+  // Grants of a predecessor may be in use until they expire. They are not
+  // known here, so refilling starts when the last of them has expired.
+  mBucket = TokenBucket(0, 0, aNow + HoldTime(kMaxGrantValidity));
+  mBalancer.RequireFence();
+  mBalanceFrom = aNow + mOptions.mBalancer.mMoveInterval;
+  Apply(aNow);
+}
+
+bool AccountHolder::AcceptHandover(const AccountState& aState, TimePoint aNow)
+{
+  if (mState != State::Idle) {
+    return false;
+  }
+  mState = State::Active;
+  mBucket = TokenBucket(0, 0, aNow);
+  mBalancer.Restore(aState.mCommitted, aState.mPending);
+  if (aState.mFenceRequired) {
+    mBalancer.RequireFence();
+  }
+  SetTotal(aState.mGeneration, aState.mRate, aState.mBurst, aNow);
+  Apply(aNow);
+  for (const auto& it : aState.mHolds) {
+    mBucket.AddHold({ .mUntil = aNow + it.mRemaining,
+                      .mAmount = it.mAmount,
+                      .mHolder = it.mHolder,
+                      .mRequest = it.mRequest },
+                    aNow);
+  }
+  mBucket.Put(aState.mTokens, aNow);
+  mDemand.Add(aState.mDemand * ToSeconds(mOptions.mDemandMemory), aNow);
+  mBalanceFrom = aNow + mOptions.mBalancer.mMoveInterval;
+  return true;
+}
+
+std::optional<AccountState> AccountHolder::HandOver(uint64_t aHandoverId,
+                                                    TimePoint aNow,
+                                                    Actions& aActions)
+{
+  if (mHandedOver && mHandedOver->mHandoverId == aHandoverId) {
+    return mHandedOver;
+  }
+  if (mState != State::Active) {
+    return std::nullopt;
+  }
+  RefuseAll(aNow, aActions);
+  AccountState state{ .mHandoverId = aHandoverId,
+                      .mTokens = mBucket.Tokens(aNow),
+                      .mCommitted = mBalancer.Committed(),
+                      .mPending = mBalancer.Pending(),
+                      .mFenceRequired = mBalancer.IsFenceRequired(),
+                      .mGeneration = mGeneration,
+                      .mRate = mRate,
+                      .mBurst = mBurst,
+                      .mDemand = Demand(aNow) };
+  for (const auto& it : mBucket.Holds()) {
+    const Duration left = it.mUntil - aNow;
+    state.mHolds.push_back({ .mRemaining = left + left / kClockDriftDivisor,
+                             .mAmount = it.mAmount,
+                             .mHolder = it.mHolder,
+                             .mRequest = it.mRequest });
+  }
+  mBucket.Retire(aNow);
+  mAsks.clear();
+  mState = State::HandedOver;
+  mHandedOver = state;
+  return state;
+}
+
+void AccountHolder::SetTotal(uint64_t aGeneration,
+                             double aRate,
+                             double aBurst,
+                             TimePoint aNow)
+{
+  if (aGeneration <= mGeneration) {
+    return;
+  }
+  mGeneration = aGeneration;
+  mRate = aRate;
+  mBurst = aBurst;
+  Apply(aNow);
+}
+
+AccountHolder::Actions AccountHolder::Admit(const AdmitRequest& aRequest,
+                                            TimePoint aNow,
+                                            bool aLeaseValid)
+{
+  Actions actions;
+  Waiting waiting{ .mRequest = aRequest, .mReceived = aNow };
+  if (mState != State::Active || !aLeaseValid) {
+    Refuse(waiting, ResultCode::LimitOwnerUnavailable, aNow, actions);
+    return actions;
+  }
+  mBucket.Settle(HolderKey(aRequest), aRequest.mSettled, aNow);
+  const auto peer = mPeers.find(aRequest.mZone);
+  if (aRequest.mFromOwner) {
+    if (peer != mPeers.end()) {
+      peer->second.mDemand = aRequest.mDemand;
+      peer->second.mDemandReported = aNow;
+      peer->second.mSilentUntil = aNow;
+    }
+    GrantToOwner(aRequest, aNow, actions);
+    return actions;
+  }
+  const double requests = 1 + double(aRequest.mDecidedBefore);
+  if (peer != mPeers.end()) {
+    peer->second.mDirect.Add(requests, aNow);
+    peer->second.mLastDirect = aNow;
+  } else {
+    mDemand.Add(requests, aNow);
+  }
+  if (TryGrant(waiting, aNow, actions)) {
+    return actions;
+  }
+  if (mWaiting.size() >= mOptions.mMaxWaiting) {
+    Refuse(waiting, ResultCode::RateExceeded, aNow, actions);
+    return actions;
+  }
+  waiting.mSerial = ++mLastWaiting;
+  if (AskNext(waiting, aNow, actions)) {
+    mWaiting.push_back(std::move(waiting));
+  }
+  return actions;
+}
+
+AccountHolder::Actions AccountHolder::OnReply(const AdmitReply& aReply,
+                                              TimePoint aNow,
+                                              bool aLeaseValid)
+{
+  Actions actions;
+  const auto it = mAsks.find(aReply.mId);
+  if (mState != State::Active || it == mAsks.end() ||
+      it->second.mZone != aReply.mZone) {
+    return actions;
+  }
+  const Ask ask = it->second;
+  mAsks.erase(it);
+  PeerZone& peer = mPeers.at(ask.mZone);
+  peer.mReported = ask.mSent + (aNow - ask.mSent) / 2;
+  peer.mReportedTokens = aReply.mTokens;
+  peer.mDemand = aReply.mDemand;
+  peer.mDemandReported = aNow;
+  peer.mSilentUntil = aReply.mCode == ResultCode::LimitOwnerUnavailable
+                        ? aNow + mOptions.mSilentPause
+                        : aNow;
+  if (!aLeaseValid) {
+    RefuseAll(aNow, actions);
+    return actions;
+  }
+  const TimePoint until = ask.mSent + aReply.mHeld + ask.mValidity;
+  if (aNow < until) {
+    // Whole tokens go straight to waiting requests, within the giver's
+    // validity: a zone whose depth is below 1 can't keep them.
+    double left = aReply.mGranted;
+    while (left + kRounding >= 1 && !mWaiting.empty()) {
+      PassOn(mWaiting.front(), until, aNow, actions);
+      mWaiting.erase(mWaiting.begin());
+      left -= 1;
+    }
+    mBucket.Put(std::max(0.0, left), aNow);
+    ServeWaiting(aNow, actions);
+  }
+  ContinueWaiting(ask.mWaiting, aNow, actions);
+  return actions;
+}
+
+AccountHolder::Actions AccountHolder::OnTimer(TimePoint aNow, bool aLeaseValid)
+{
+  Actions actions;
+  if (mState != State::Active) {
+    return actions;
+  }
+  if (!aLeaseValid) {
+    RefuseAll(aNow, actions);
+    return actions;
+  }
+  std::vector<uint64_t> stalled;
+  std::erase_if(mAsks, [&](const auto& aAsk) {
+    if (aNow - aAsk.second.mSent < mOptions.mAnswerTimeout) {
+      return false;
+    }
+    mPeers.at(aAsk.second.mZone).mSilentUntil = aNow + mOptions.mSilentPause;
+    stalled.push_back(aAsk.second.mWaiting);
+    return true;
+  });
+  ServeWaiting(aNow, actions);
+  for (const uint64_t it : stalled) {
+    ContinueWaiting(it, aNow, actions);
+  }
+  std::erase_if(mWaiting, [&](const Waiting& aWaiting) {
+    if (aNow - aWaiting.mReceived < mOptions.mMaxWait) {
+      return false;
+    }
+    Refuse(aWaiting, ResultCode::LimitOwnerUnavailable, aNow, actions);
+    return true;
+  });
+  if (aNow >= mBalanceFrom && mGeneration > 0) {
+    mBalancer.Consider(Demands(aNow), mRate, mBurst, aNow);
+    Apply(aNow);
+  }
+  return actions;
+}
+
+void AccountHolder::ObserveZone(const ZoneName& aZone,
+                                double aPerSecond,
+                                double aTokens,
+                                TimePoint aNow)
+{
+  const auto it = mPeers.find(aZone);
+  if (it == mPeers.end()) {
+    return;
+  }
+  PeerZone& peer = it->second;
+  peer.mDemand = aPerSecond;
+  peer.mDemandReported = aNow;
+  peer.mReported = aNow - peer.mLatency;
+  peer.mReportedTokens = aTokens;
+  peer.mSilentUntil = aNow;
+}
+
+std::optional<uint64_t> AccountHolder::NeededRead() const
+{
+  return mState == State::Active ? mBalancer.NeededRead() : std::nullopt;
+}
+
+void AccountHolder::OnStoreRead(uint64_t aSerial,
+                                const std::optional<Allotment>& aRead,
+                                TimePoint aNow)
+{
+  mBalancer.OnStoreRead(aSerial, aRead);
+  Apply(aNow);
+}
+
+void AccountHolder::OnCommitted(const Allotment& aCommitted, TimePoint aNow)
+{
+  mBalancer.OnCommitted(aCommitted);
+  Apply(aNow);
+}
+
+std::optional<AllotmentWrite> AccountHolder::NextWrite(TimePoint aNow,
+                                                       bool aLeaseValid)
+{
+  if (mState != State::Active || !aLeaseValid || mGeneration == 0) {
+    return std::nullopt;
+  }
+  Apply(aNow);
+  std::vector<ZoneName> zones{ mZone };
+  for (const auto& it : mPeers) {
+    zones.push_back(it.first);
+  }
+  const Allotment first =
+    IsDividable() ? Allotment::Equal(zones) : Allotment::Single(mZone);
+  // Tokens that were granted under the larger share may still be used, so
+  // the receiver must not have it before they have expired.
+  const bool lowered = mBucket.Held(aNow) <= mBucket.Depth() + kRounding;
+  return mBalancer.NextWrite(first, lowered, aNow);
+}
+
+void AccountHolder::OnWriteResult(WriteOutcome aOutcome, TimePoint aNow)
+{
+  mBalancer.OnWriteResult(aOutcome, aNow);
+  Apply(aNow);
+}
+
+void AccountHolder::Apply(TimePoint aNow)
+{
+  if (mState != State::Active) {
+    return;
+  }
+  const double part =
+    double(mBalancer.UsableFraction()) / double(Allotment::kWhole);
+  POLLENWAY_ASSERT(part <= 1, "a zone uses more than the whole");
+  mBucket.Change(mRate * part, mBurst * part, aNow);
+  mRestZone = ZoneName();
+  if (mBucket.Depth() < 1 && mBalancer.Committed()) {
+    uint32_t most = 0;
+    for (const auto& it : mBalancer.Committed()->Fractions()) {
+      if (it.first != mZone && it.second > most) {
+        most = it.second;
+        mRestZone = it.first;
+      }
+    }
+    if (double(most) * mBurst < double(Allotment::kWhole)) {
+      mRestZone = ZoneName();
+    }
+  }
+}
+
+bool AccountHolder::IsDividable() const
+{
+  return !mBalancer.RestsWithOneZone(mRate, mBurst, mPeers.size() + 1);
+}
+
+double AccountHolder::EstimatedTokens(const ZoneName& aZone,
+                                      const PeerZone& aPeer,
+                                      TimePoint aNow) const
+{
+  const auto& committed = mBalancer.Committed();
+  if (!committed) {
+    return 0;
+  }
+  const double part =
+    double(committed->Fraction(aZone)) / double(Allotment::kWhole);
+  if (aPeer.mReported == TimePoint{}) {
+    return mBurst * part;
+  }
+  const double age = ToSeconds(aNow + aPeer.mLatency - aPeer.mReported);
+  return std::min(mBurst * part, aPeer.mReportedTokens + mRate * part * age);
+}
+
+const ZoneName* AccountHolder::NextCandidate(const Waiting& aWaiting,
+                                             TimePoint aNow)
+{
+  const bool partial = mBucket.Depth() >= 2;
+  const double wanted = partial ? kMinPart : 1 - 1e-6;
+  double sum = mBucket.Tokens(aNow);
+  const ZoneName* best = nullptr;
+  double bestTokens = 0;
+  Duration bestLatency{};
+  for (const auto& [zone, peer] : mPeers) {
+    const double tokens = EstimatedTokens(zone, peer, aNow);
+    if (aWaiting.mAsked.count(zone) || aNow < peer.mSilentUntil ||
+        tokens < wanted) {
+      continue;
+    }
+    sum += tokens;
+    // Zones that likely have a whole token come first, nearest first; among
+    // others and equally near ones the one with most tokens.
+    const bool whole = tokens >= 1;
+    const bool bestWhole = bestTokens >= 1;
+    const bool better = whole != bestWhole ? whole
+                        : whole && peer.mLatency != bestLatency
+                          ? peer.mLatency < bestLatency
+                          : tokens > bestTokens;
+    if (!best || better) {
+      best = &zone;
+      bestTokens = tokens;
+      bestLatency = peer.mLatency;
+    }
+  }
+  return sum + 1e-6 >= 1 ? best : nullptr;
+}
+
+Duration AccountHolder::RetryAfter(TimePoint aNow)
+{
+  Duration best = mBucket.TimeUntil(1, aNow);
+  const auto& committed = mBalancer.Committed();
+  double sum = mBucket.Tokens(aNow);
+  double rate = mBucket.Rate();
+  for (const auto& [zone, peer] : mPeers) {
+    if (!committed || aNow < peer.mSilentUntil) {
+      continue;
+    }
+    const double part =
+      double(committed->Fraction(zone)) / double(Allotment::kWhole);
+    const double tokens = EstimatedTokens(zone, peer, aNow);
+    sum += tokens;
+    rate += mRate * part;
+    if (mBurst * part >= 1 && mRate * part > 0) {
+      const double wait = std::max(0.0, (1 - tokens) / (mRate * part));
+      best = std::min(best, FromSeconds(wait));
+    }
+  }
+  if (mBucket.Depth() >= 2) {
+    best = std::min(best, FromSeconds(std::max(0.0, (1 - sum) / rate)));
+  }
+  return best == Duration::max() ? kUnknownRetry : best;
+}
+
+bool AccountHolder::TryGrant(const Waiting& aWaiting,
+                             TimePoint aNow,
+                             Actions& aActions)
+{
+  const AdmitRequest& request = aWaiting.mRequest;
+  const double tokens = mBucket.Tokens(aNow);
+  if (tokens + kRounding < 1) {
+    return false;
+  }
+  if (request.mFrom == mSelf) {
+    mBucket.Take(1, aNow);
+    AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
+    reply.mGranted = 1;
+    aActions.mReplies.push_back({ request.mFrom, false, reply });
+    return true;
+  }
+  const auto extra =
+    double(uint64_t(std::max(0.0, (tokens - 1) * mOptions.mBatchExtraPart)));
+  const double count = 1 + std::min(extra, double(request.mCount) - 1);
+  const Duration validity = std::min(request.mValidity, kMaxGrantValidity);
+  // Deducted and held before the answer exists: a lost answer loses tokens.
+  if (!mBucket.TakeHeld(count,
+                        aNow,
+                        aNow + HoldTime(validity),
+                        HolderKey(request),
+                        request.mId)) {
+    return false;
+  }
+  AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
+  reply.mGranted = count;
+  // A validity that was cut is cut at the receiver too.
+  reply.mHeld = aNow - aWaiting.mReceived - (request.mValidity - validity);
+  aActions.mReplies.push_back({ request.mFrom, false, reply });
+  return true;
+}
+
+void AccountHolder::GrantToOwner(const AdmitRequest& aRequest,
+                                 TimePoint aNow,
+                                 Actions& aActions)
+{
+  const double tokens = mBucket.Tokens(aNow);
+  double count = 0;
+  if (tokens + kRounding >= 1) {
+    count = 1 + std::min(double(aRequest.mCount) - 1,
+                         std::max(0.0, tokens - 1) * mOptions.mOwnerExtraPart);
+  } else if (aRequest.mPartial && tokens >= kMinPart) {
+    count = tokens;
+  }
+  const Duration validity = std::min(aRequest.mValidity, kMaxGrantValidity);
+  const bool granted = count > 0 && mBucket.TakeHeld(count,
+                                                     aNow,
+                                                     aNow + HoldTime(validity),
+                                                     HolderKey(aRequest),
+                                                     aRequest.mId);
+  AdmitReply reply = MakeReply(
+    aRequest, granted ? ResultCode::Ok : ResultCode::RateExceeded, aNow);
+  reply.mGranted = granted ? count : 0;
+  reply.mHeld = validity - aRequest.mValidity;
+  aActions.mReplies.push_back({ aRequest.mFrom, true, reply });
+}
+
+void AccountHolder::PassOn(const Waiting& aWaiting,
+                           TimePoint aUntil,
+                           TimePoint aNow,
+                           Actions& aActions)
+{
+  const AdmitRequest& request = aWaiting.mRequest;
+  AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
+  reply.mGranted = 1;
+  reply.mHeld = std::min(aNow - aWaiting.mReceived,
+                         aUntil - aWaiting.mReceived - request.mValidity);
+  aActions.mReplies.push_back({ request.mFrom, false, reply });
+}
+
+void AccountHolder::Refuse(const Waiting& aWaiting,
+                           ResultCode aCode,
+                           TimePoint aNow,
+                           Actions& aActions)
+{
+  AdmitReply reply = MakeReply(aWaiting.mRequest, aCode, aNow);
+  reply.mHeld = aNow - aWaiting.mReceived;
+  reply.mRetryAfter =
+    aCode == ResultCode::RateExceeded ? RetryAfter(aNow) : kUnknownRetry;
+  aActions.mReplies.push_back(
+    { aWaiting.mRequest.mFrom, aWaiting.mRequest.mFromOwner, reply });
+}
+
+bool AccountHolder::AskNext(Waiting& aWaiting,
+                            TimePoint aNow,
+                            Actions& aActions)
+{
+  const ZoneName* zone = NextCandidate(aWaiting, aNow);
+  if (!zone) {
+    const bool silent =
+      std::any_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
+        return aNow < aPeer.second.mSilentUntil;
+      });
+    const bool own = mBucket.Depth() >= 1;
+    Refuse(aWaiting,
+           silent && !own ? ResultCode::LimitOwnerUnavailable
+                          : ResultCode::RateExceeded,
+           aNow,
+           aActions);
+    return false;
+  }
+  const double depth = mBucket.Depth();
+  AdmitRequest request{
+    .mFrom = mSelf, .mZone = mZone, .mFromOwner = true, .mDemand = Demand(aNow)
+  };
+  if (depth >= 2) {
+    request.mPartial = true;
+    request.mCount =
+      std::max(1u, uint32_t(depth * mOptions.mExchangePart + 0.5));
+  }
+  request.mValidity = std::min(
+    2 * mPeers.at(*zone).mLatency + mOptions.mExchangeSlack, kMaxGrantValidity);
+  request.mSettled = mAsks.empty() ? mLastAsk : mAsks.begin()->first - 1;
+  request.mId = ++mLastAsk;
+  mAsks[request.mId] = { .mWaiting = aWaiting.mSerial,
+                         .mZone = *zone,
+                         .mSent = aNow,
+                         .mValidity = request.mValidity };
+  aWaiting.mAsked.insert(*zone);
+  aActions.mAsks.push_back({ *zone, std::move(request) });
+  return true;
+}
+
+void AccountHolder::ContinueWaiting(uint64_t aSerial,
+                                    TimePoint aNow,
+                                    Actions& aActions)
+{
+  const auto it = std::find_if(
+    mWaiting.begin(), mWaiting.end(), [&](const Waiting& aWaiting) {
+      return aWaiting.mSerial == aSerial;
+    });
+  if (it != mWaiting.end() && !AskNext(*it, aNow, aActions)) {
+    mWaiting.erase(it);
+  }
+}
+
+void AccountHolder::ServeWaiting(TimePoint aNow, Actions& aActions)
+{
+  size_t n = 0;
+  while (n < mWaiting.size() && TryGrant(mWaiting[n], aNow, aActions)) {
+    ++n;
+  }
+  mWaiting.erase(mWaiting.begin(), mWaiting.begin() + ptrdiff_t(n));
+}
+
+void AccountHolder::RefuseAll(TimePoint aNow, Actions& aActions)
+{
+  for (const auto& it : mWaiting) {
+    Refuse(it, ResultCode::LimitOwnerUnavailable, aNow, aActions);
+  }
+  mWaiting.clear();
+}
+
+AdmitReply AccountHolder::MakeReply(const AdmitRequest& aRequest,
+                                    ResultCode aCode,
+                                    TimePoint aNow)
+{
+  AdmitReply reply{ .mId = aRequest.mId, .mZone = mZone, .mCode = aCode };
+  if (mState != State::Active) {
+    return reply;
+  }
+  reply.mTokens = mBucket.Tokens(aNow);
+  reply.mDemand = Demand(aNow);
+  if (!aRequest.mFromOwner && aRequest.mFrom != mSelf && !mRestZone.IsEmpty()) {
+    reply.mAskInstead = mRestZone;
+    reply.mAskInsteadValidity =
+      std::min(2 * mPeers.at(mRestZone).mLatency + mOptions.mExchangeSlack,
+               kMaxGrantValidity);
+  }
+  return reply;
+}
+
+std::map<ZoneName, ZoneDemand> AccountHolder::Demands(TimePoint aNow) const
+{
+  std::map<ZoneName, ZoneDemand> out;
+  out[mZone] = { .mPerSecond = Demand(aNow), .mFresh = true };
+  for (const auto& [zone, peer] : mPeers) {
+    const TimePoint last = std::max(peer.mDemandReported, peer.mLastDirect);
+    out[zone] = { .mPerSecond = peer.mDemand + peer.mDirect.PerSecond(aNow),
+                  .mFresh = last != TimePoint{} &&
+                            aNow - last <= mOptions.mReportLife };
+  }
+  return out;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/AccountHolder.h
@@ -0,0 +1,228 @@
+#pragma once
+
+#include "AccountState.h"
+#include "AdmitMessage.h"
+#include "Allotment.h"
+#include "DemandEstimate.h"
+#include "Ids.h"
+#include "ShareBalancer.h"
+#include "Time.h"
+#include "TokenBucket.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace pollenway {
+
+/// What a zone's account owner runs for one workspace: the token bucket with
+/// the zone's share, exchange of tokens with other zones' owners, moves of the
+/// share, handover. Grants nothing before `StartEmpty` or `AcceptHandover`,
+/// after `HandOver`, without a valid lease, or before it knows the workspace's
+/// total and the allotment.
+class AccountHolder
+{
+public:
+  struct Options
+  {
+    ShareBalancer::Options mBalancer{};
+    /// Memory of the demand estimate, long because moves cost tokens.
+    Duration mDemandMemory = std::chrono::seconds(30);
+    /// A zone's report is fresh for this long.
+    Duration mReportLife = std::chrono::seconds(10);
+    /// An owner that does not answer in this time is not asked for
+    /// mSilentPause, then once more.
+    Duration mAnswerTimeout = std::chrono::milliseconds(250);
+    Duration mSilentPause = std::chrono::seconds(2);
+    /// Longest time that a request waits for tokens of other zones.
+    Duration mMaxWait = std::chrono::milliseconds(500);
+    size_t mMaxWaiting = 1000;
+    /// Allowance in an exchange's validity beyond the round trip.
+    Duration mExchangeSlack = std::chrono::milliseconds(40);
+    /// Part of the depth that is asked for when a bucket is empty.
+    double mExchangePart = 0.5;
+    /// Part of the tokens beyond the first that goes to one request.
+    double mOwnerExtraPart = 0.5;
+    double mBatchExtraPart = 0.25;
+  };
+
+  /// Another zone, with the one-way latency to it.
+  struct Peer
+  {
+    ZoneName mZone;
+    Duration mLatency{};
+  };
+
+  struct ReplyAction
+  {
+    InstanceName mTo;
+    bool mToOwner = false;
+    AdmitReply mReply;
+  };
+
+  struct AskAction
+  {
+    /// The account owner of this zone.
+    ZoneName mTo;
+    AdmitRequest mRequest;
+  };
+
+  struct Actions
+  {
+    std::vector<ReplyAction> mReplies;
+    std::vector<AskAction> mAsks;
+  };
+
+  AccountHolder(InstanceName aSelf,
+                ZoneName aZone,
+                std::vector<Peer> aPeers,
+                Options aOptions);
+
+  /// The predecessor has left or has been evicted, or there was none.
+  void StartEmpty(TimePoint aNow);
+
+  /// Continues the predecessor's account. False, without effect, if this
+  /// holder already started.
+  bool AcceptHandover(const AccountState& aState, TimePoint aNow);
+
+  /// Stops and returns the account for the new owner. A repeat of the same
+  /// request gets the same answer; another request gets none, because the
+  /// account can be handed over once only. The waiting requests' answers are
+  /// added to `aActions`.
+  std::optional<AccountState> HandOver(uint64_t aHandoverId,
+                                       TimePoint aNow,
+                                       Actions& aActions);
+
+  /// Total of a configuration generation; lower generations are ignored.
+  void SetTotal(uint64_t aGeneration,
+                double aRate,
+                double aBurst,
+                TimePoint aNow);
+
+  /// A request of this instance (local), of an instance or of an owner. The
+  /// answer may be among the returned actions or those of a later event.
+  Actions Admit(const AdmitRequest& aRequest, TimePoint aNow, bool aLeaseValid);
+
+  Actions OnReply(const AdmitReply& aReply, TimePoint aNow, bool aLeaseValid);
+
+  /// Gives up on lost answers and considers moving share. Call it every
+  /// 100 ms or so.
+  Actions OnTimer(TimePoint aNow, bool aLeaseValid);
+
+  /// A zone's demand and tokens, from a heartbeat.
+  void ObserveZone(const ZoneName& aZone,
+                   double aPerSecond,
+                   double aTokens,
+                   TimePoint aNow);
+
+  /// See `ShareBalancer`.
+  std::optional<uint64_t> NeededRead() const;
+  void OnStoreRead(uint64_t aSerial,
+                   const std::optional<Allotment>& aRead,
+                   TimePoint aNow);
+  void OnCommitted(const Allotment& aCommitted, TimePoint aNow);
+  std::optional<AllotmentWrite> NextWrite(TimePoint aNow, bool aLeaseValid);
+  void OnWriteResult(WriteOutcome aOutcome, TimePoint aNow);
+
+  bool IsActive() const { return mState == State::Active; }
+  double Tokens(TimePoint aNow) { return mBucket.Tokens(aNow); }
+  double Held(TimePoint aNow) { return mBucket.Held(aNow); }
+  /// Requests per second of this zone.
+  double Demand(TimePoint aNow) const { return mDemand.PerSecond(aNow); }
+  uint64_t Generation() const { return mGeneration; }
+  const ShareBalancer& Balancer() const { return mBalancer; }
+
+private:
+  enum class State
+  {
+    Idle,
+    Active,
+    HandedOver,
+  };
+
+  struct PeerZone
+  {
+    Duration mLatency{};
+    double mReportedTokens = 0;
+    /// Nothing reported yet if at the origin.
+    TimePoint mReported{};
+    double mDemand = 0;
+    TimePoint mDemandReported{};
+    /// Requests that the zone's instances sent here directly.
+    DemandEstimate mDirect;
+    TimePoint mLastDirect{};
+    TimePoint mSilentUntil{};
+  };
+
+  struct Waiting
+  {
+    uint64_t mSerial = 0;
+    AdmitRequest mRequest;
+    TimePoint mReceived;
+    std::set<ZoneName> mAsked{};
+  };
+
+  struct Ask
+  {
+    uint64_t mWaiting = 0;
+    ZoneName mZone;
+    TimePoint mSent;
+    Duration mValidity{};
+  };
+
+  void Apply(TimePoint aNow);
+  bool IsDividable() const;
+  double EstimatedTokens(const ZoneName& aZone,
+                         const PeerZone& aPeer,
+                         TimePoint aNow) const;
+  /// The next zone to ask for this request; null if none may help.
+  const ZoneName* NextCandidate(const Waiting& aWaiting, TimePoint aNow);
+  Duration RetryAfter(TimePoint aNow);
+  /// False if there is not a whole token.
+  bool TryGrant(const Waiting& aWaiting, TimePoint aNow, Actions& aActions);
+  void GrantToOwner(const AdmitRequest& aRequest,
+                    TimePoint aNow,
+                    Actions& aActions);
+  void PassOn(const Waiting& aWaiting,
+              TimePoint aUntil,
+              TimePoint aNow,
+              Actions& aActions);
+  void Refuse(const Waiting& aWaiting,
+              ResultCode aCode,
+              TimePoint aNow,
+              Actions& aActions);
+  /// Asks the next candidate or refuses; true if the request still waits.
+  bool AskNext(Waiting& aWaiting, TimePoint aNow, Actions& aActions);
+  void ContinueWaiting(uint64_t aSerial, TimePoint aNow, Actions& aActions);
+  void ServeWaiting(TimePoint aNow, Actions& aActions);
+  void RefuseAll(TimePoint aNow, Actions& aActions);
+  AdmitReply MakeReply(const AdmitRequest& aRequest,
+                       ResultCode aCode,
+                       TimePoint aNow);
+  std::map<ZoneName, ZoneDemand> Demands(TimePoint aNow) const;
+
+  InstanceName mSelf;
+  ZoneName mZone;
+  Options mOptions;
+  State mState = State::Idle;
+  TokenBucket mBucket;
+  ShareBalancer mBalancer;
+  DemandEstimate mDemand;
+  std::map<ZoneName, PeerZone> mPeers;
+  uint64_t mGeneration = 0;
+  double mRate = 0;
+  double mBurst = 0;
+  /// Where the workspace rests, if its zones are not divided.
+  ZoneName mRestZone;
+  /// In order of arrival.
+  std::vector<Waiting> mWaiting;
+  uint64_t mLastWaiting = 0;
+  std::map<uint64_t, Ask> mAsks;
+  uint64_t mLastAsk = 0;
+  TimePoint mBalanceFrom{};
+  std::optional<AccountState> mHandedOver;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/ShareBalancer.cpp
@@ -0,0 +1,233 @@
+#include "ShareBalancer.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pollenway {
+
+ShareBalancer::ShareBalancer(ZoneName aZone, Options aOptions)
+  : mZone(std::move(aZone))
+  , mOptions(aOptions)
+{
+}
+
+void ShareBalancer::RequireFence()
+{
+  mFenceRequired = true;
+  mFenceBase = 0;
+  RequireRead();
+}
+
+void ShareBalancer::RequireRead()
+{
+  mNeedsRead = true;
+  ++mReadSerial;
+}
+
+std::optional<uint64_t> ShareBalancer::NeededRead() const
+{
+  return mNeedsRead ? std::optional(mReadSerial) : std::nullopt;
+}
+
+void ShareBalancer::Restore(const std::optional<Allotment>& aCommitted,
+                            const std::optional<PendingMove>& aPending)
+{
+  mPending = aPending;
+  if (aCommitted) {
+    OnCommitted(*aCommitted);
+  }
+  RequireRead();
+}
+
+void ShareBalancer::OnStoreRead(uint64_t aSerial,
+                                const std::optional<Allotment>& aRead)
+{
+  if (!mNeedsRead || aSerial != mReadSerial) {
+    return;
+  }
+  mNeedsRead = false;
+  // An object that was there before is not created again: a store that lost
+  // it is repaired by an operator.
+  mAbsent = !aRead && !mCommitted;
+  if (!aRead) {
+    return;
+  }
+  OnCommitted(*aRead);
+  if (mFenceRequired && mFenceBase == 0) {
+    mFenceBase = aRead->Version();
+  }
+}
+
+void ShareBalancer::OnCommitted(const Allotment& aCommitted)
+{
+  if (mCommitted && aCommitted.Version() <= mCommitted->Version()) {
+    return;
+  }
+  const uint64_t before = mCommitted ? mCommitted->Version() : 0;
+  mCommitted = aCommitted;
+  POLLENWAY_ASSERT(mCommitted->Version() > before,
+                   "an allotment's version went back");
+  mAbsent = false;
+  if (mPending && aCommitted.Version() > mPending->mWrite.mBaseVersion) {
+    mPending.reset();
+  }
+  if (mFenceBase != 0 && aCommitted.Version() > mFenceBase) {
+    mFenceRequired = false;
+    mFenceBase = 0;
+  }
+}
+
+bool ShareBalancer::RestsWithOneZone(double aRate,
+                                     double aBurst,
+                                     size_t aZones) const
+{
+  return aBurst < mOptions.mMinBurstPerZone * double(aZones) ||
+         aRate < mOptions.mMinRate;
+}
+
+void ShareBalancer::Consider(const std::map<ZoneName, ZoneDemand>& aDemand,
+                             double aRate,
+                             double aBurst,
+                             TimePoint aNow)
+{
+  if (mPending || mInFlight || mFenceRequired || mNeedsRead || !mCommitted ||
+      aNow < mNextMove || UsableFraction() == 0) {
+    return;
+  }
+  const Move move = RestsWithOneZone(aRate, aBurst, aDemand.size())
+                      ? ChooseRest(aDemand)
+                      : ChooseShare(aDemand);
+  if (move.mAmount == 0) {
+    return;
+  }
+  mNextMove = aNow + mOptions.mMoveInterval;
+  mPending = PendingMove{
+    .mWrite = { .mBaseVersion = mCommitted->Version(),
+                .mValue = mCommitted->Moved(mZone, move.mTo, move.mAmount) },
+    .mCeiling = mCommitted->Fraction(mZone) - move.mAmount
+  };
+}
+
+ShareBalancer::Move ShareBalancer::ChooseRest(
+  const std::map<ZoneName, ZoneDemand>& aDemand) const
+{
+  // The zone with the largest fraction is where the workspace rests now; all
+  // givers see the same committed fractions and so agree on it.
+  const ZoneName* rest = nullptr;
+  uint32_t largest = 0;
+  for (const auto& it : mCommitted->Fractions()) {
+    if (it.second > largest) {
+      largest = it.second;
+      rest = &it.first;
+    }
+  }
+  double most = 0;
+  if (const auto it = aDemand.find(*rest); it != aDemand.end()) {
+    most = std::max(it->second.mPerSecond, 1e-3) * mOptions.mRestHysteresis;
+  }
+  const ZoneName* to = rest;
+  for (const auto& it : aDemand) {
+    if (it.second.mFresh && it.second.mPerSecond > most) {
+      most = it.second.mPerSecond;
+      to = &it.first;
+    }
+  }
+  if (*to == mZone) {
+    return {};
+  }
+  const auto it = aDemand.find(*to);
+  if (it == aDemand.end() || !it->second.mFresh) {
+    return {};
+  }
+  return { *to, mCommitted->Fraction(mZone) };
+}
+
+ShareBalancer::Move ShareBalancer::ChooseShare(
+  const std::map<ZoneName, ZoneDemand>& aDemand) const
+{
+  double sum = 0;
+  for (const auto& it : aDemand) {
+    sum += it.second.mPerSecond;
+  }
+  if (sum <= 0) {
+    return {};
+  }
+  const double free =
+    double(Allotment::kWhole) - double(mOptions.mReserve) * aDemand.size();
+  const auto target = [&](const ZoneDemand& aZone) {
+    return mOptions.mReserve + free * aZone.mPerSecond / sum;
+  };
+  const auto own = aDemand.find(mZone);
+  const double ownTarget = own == aDemand.end() ? 0 : target(own->second);
+  const double ownFraction = mCommitted->Fraction(mZone);
+  const double surplus = ownFraction - ownTarget;
+  if (surplus < mOptions.mMinMove ||
+      surplus < ownTarget * mOptions.mHysteresis) {
+    return {};
+  }
+  const ZoneName* to = nullptr;
+  double most = 0;
+  for (const auto& it : aDemand) {
+    const double lack = target(it.second) - mCommitted->Fraction(it.first);
+    if (it.first != mZone && it.second.mFresh && lack > most) {
+      most = lack;
+      to = &it.first;
+    }
+  }
+  const double amount = std::min(surplus, most);
+  if (!to || amount < mOptions.mMinMove) {
+    return {};
+  }
+  return { *to, uint32_t(amount) };
+}
+
+std::optional<AllotmentWrite> ShareBalancer::NextWrite(const Allotment& aFirst,
+                                                       bool aLowered,
+                                                       TimePoint aNow)
+{
+  if (mNeedsRead || mInFlight || aNow < mNextWrite) {
+    return std::nullopt;
+  }
+  if (mAbsent) {
+    mInFlight = AllotmentWrite{ 0, aFirst };
+  } else if (!mCommitted) {
+    return std::nullopt;
+  } else if (mPending) {
+    if (!aLowered) {
+      return std::nullopt;
+    }
+    mInFlight = mPending->mWrite;
+  } else if (mFenceRequired && mFenceBase != 0) {
+    mInFlight = AllotmentWrite{ mCommitted->Version(),
+                                mCommitted->Moved(mZone, mZone, 0) };
+  }
+  return mInFlight;
+}
+
+void ShareBalancer::OnWriteResult(WriteOutcome aOutcome, TimePoint aNow)
+{
+  if (!mInFlight) {
+    return;
+  }
+  const AllotmentWrite write = *std::exchange(mInFlight, std::nullopt);
+  if (aOutcome == WriteOutcome::Committed) {
+    OnCommitted(write.mValue);
+    return;
+  }
+  RequireRead();
+  mNextWrite = aNow + mOptions.mRetryInterval;
+}
+
+uint32_t ShareBalancer::UsableFraction() const
+{
+  if (!mCommitted || mFenceRequired) {
+    return 0;
+  }
+  const uint32_t committed = mCommitted->Fraction(mZone);
+  return mPending ? std::min(committed, mPending->mCeiling) : committed;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/TokenBucket.cpp
@@ -0,0 +1,177 @@
+#include "TokenBucket.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+
+namespace pollenway {
+
+namespace {
+// Absorbs the rounding of repeated refills of one whole token.
+constexpr double kRounding = 1e-9;
+}
+
+TokenBucket::TokenBucket(double aRate, double aDepth, TimePoint aStart)
+  : mRate(aRate)
+  , mDepth(aDepth)
+  , mLast(aStart)
+{
+}
+
+bool TokenBucket::Take(double aCount, TimePoint aNow)
+{
+  Advance(aNow);
+  if (mTokens + kRounding < aCount) {
+    return false;
+  }
+  mTokens = std::max(0.0, mTokens - aCount);
+  return true;
+}
+
+bool TokenBucket::TakeHeld(double aCount,
+                           TimePoint aNow,
+                           TimePoint aUntil,
+                           std::string aHolder,
+                           uint64_t aRequest)
+{
+  if (!Take(aCount, aNow)) {
+    return false;
+  }
+  if (aUntil > mLast) {
+    InsertHold({ aUntil, aCount, std::move(aHolder), aRequest });
+  }
+  CheckDepth();
+  return true;
+}
+
+void TokenBucket::Settle(std::string_view aHolder,
+                         uint64_t aRequest,
+                         TimePoint aNow)
+{
+  Advance(aNow);
+  std::erase_if(mHolds, [&](const TokenHold& aHold) {
+    if (aHold.mRequest > aRequest || aHold.mHolder != aHolder) {
+      return false;
+    }
+    mHeld -= aHold.mAmount;
+    return true;
+  });
+  if (mHolds.empty()) {
+    mHeld = 0;
+  }
+}
+
+void TokenBucket::AddHold(TokenHold aHold, TimePoint aNow)
+{
+  Advance(aNow);
+  InsertHold(std::move(aHold));
+  mTokens = std::min(mTokens, Room());
+}
+
+void TokenBucket::Put(double aCount, TimePoint aNow)
+{
+  Advance(aNow);
+  mTokens = std::max(mTokens, std::min(mTokens + aCount, Room()));
+  CheckDepth();
+}
+
+void TokenBucket::Change(double aRate, double aDepth, TimePoint aNow)
+{
+  Advance(aNow);
+  mRate = aRate;
+  mDepth = aDepth;
+  mTokens = std::min(mTokens, Room());
+}
+
+void TokenBucket::Retire(TimePoint aNow)
+{
+  Change(0, 0, aNow);
+}
+
+double TokenBucket::Tokens(TimePoint aNow)
+{
+  Advance(aNow);
+  return mTokens;
+}
+
+double TokenBucket::Held(TimePoint aNow)
+{
+  Advance(aNow);
+  return mHeld;
+}
+
+Duration TokenBucket::TimeUntil(double aCount, TimePoint aNow)
+{
+  Advance(aNow);
+  if (mTokens + kRounding >= aCount) {
+    return Duration::zero();
+  }
+  if (mRate <= 0 || mDepth + kRounding < aCount) {
+    return Duration::max();
+  }
+  TimePoint at = mLast + FromSeconds((aCount - mTokens) / mRate);
+  double held = mHeld;
+  for (const auto& it : mHolds) {
+    if (mDepth - held + kRounding >= aCount) {
+      break;
+    }
+    held -= it.mAmount;
+    at = std::max(at, it.mUntil);
+  }
+  return std::max(at - aNow, Duration::zero());
+}
+
+void TokenBucket::Advance(TimePoint aNow)
+{
+  // Holds end in order: refilling up to the depth must stop while a hold is
+  // live, even if nobody looked at the bucket between its end and now.
+  size_t n = 0;
+  while (n < mHolds.size() && mHolds[n].mUntil <= aNow) {
+    RefillUntil(mHolds[n].mUntil);
+    mHeld -= mHolds[n].mAmount;
+    ++n;
+  }
+  mHolds.erase(mHolds.begin(), mHolds.begin() + ptrdiff_t(n));
+  if (mHolds.empty()) {
+    mHeld = 0;
+  }
+  RefillUntil(aNow);
+  CheckDepth();
+}
+
+void TokenBucket::RefillUntil(TimePoint aTime)
+{
+  if (aTime <= mLast) {
+    return;
+  }
+  const double refill = mRate * ToSeconds(aTime - mLast);
+  mTokens = std::max(mTokens, std::min(mTokens + refill, Room()));
+  mLast = aTime;
+}
+
+void TokenBucket::InsertHold(TokenHold aHold)
+{
+  mHeld += aHold.mAmount;
+  const auto at =
+    std::upper_bound(mHolds.begin(),
+                     mHolds.end(),
+                     aHold.mUntil,
+                     [](TimePoint aUntil, const TokenHold& aOther) {
+                       return aUntil < aOther.mUntil;
+                     });
+  mHolds.insert(at, std::move(aHold));
+}
+
+double TokenBucket::Room() const
+{
+  return std::max(0.0, mDepth - mHeld);
+}
+
+void TokenBucket::CheckDepth() const
+{
+  POLLENWAY_ASSERT(mTokens >= 0, "a bucket has a negative number of tokens");
+  POLLENWAY_ASSERT(mTokens <= Room() + 1e-6,
+                   "tokens and held tokens exceed the bucket's depth");
+}
+
+} // namespace pollenway
