--- /dev/null
+++ b/src/PeerBodies.h
@@ -0,0 +1,422 @@
+#pragma once
+
+#include "Ids.h"
+#include "ResultCode.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+#include <vector>
+
+/// Bodies of the messages between instances (docs/design.md, section 7). Each
+/// is encoded as a msgpack array of the members in the order of `Fields`. New
+/// members may only be added at the end: decoders ignore members they do not
+/// know. Durations are in milliseconds and always relative, because clocks of
+/// instances are not comparable.
+namespace pollenway::peer {
+
+/// Number of a zone's view as the sender knows it.
+struct ZoneViewNumber
+{
+  ZoneName mZone;
+  uint64_t mNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mZone, aSelf.mNumber);
+  }
+};
+
+/// Load of a target, sent by its slot owner.
+struct LoadSummary
+{
+  TargetName mTarget;
+  uint32_t mInFlight = 0;
+  uint32_t mQueued = 0;
+  /// Slots that the slot owner currently uses; 0 while ejected.
+  uint32_t mUsableSlots = 0;
+  /// Age of the observation when the message was sent.
+  uint32_t mAgeMs = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mTarget,
+                    aSelf.mInFlight,
+                    aSelf.mQueued,
+                    aSelf.mUsableSlots,
+                    aSelf.mAgeMs);
+  }
+};
+
+/// What the sender knows, in short form, so that peers see what they lack.
+struct Digest
+{
+  ZoneName mZone;
+  uint64_t mGeneration = 0;
+  uint64_t mConfigurationHash = 0;
+  /// Hash over all zone view numbers that the sender knows.
+  uint64_t mViewsHash = 0;
+  /// The numbers themselves; sent only if the receiver's last known hash
+  /// differs, because 47 zones' numbers would dominate the message's size.
+  std::vector<ZoneViewNumber> mViews;
+  uint32_t mWithdrawnCount = 0;
+  uint64_t mWithdrawnHash = 0;
+  bool mLeaving = false;
+  std::vector<LoadSummary> mLoads;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mZone,
+                    aSelf.mGeneration,
+                    aSelf.mConfigurationHash,
+                    aSelf.mViewsHash,
+                    aSelf.mViews,
+                    aSelf.mWithdrawnCount,
+                    aSelf.mWithdrawnHash,
+                    aSelf.mLeaving,
+                    aSelf.mLoads);
+  }
+};
+
+struct Heartbeat
+{
+  Digest mDigest;
+  /// The sender asks the receiver, a member of its zone, for a lease.
+  bool mLeaseWanted = false;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mDigest, aSelf.mLeaseWanted);
+  }
+};
+
+struct HeartbeatReply
+{
+  Digest mDigest;
+  /// The replier is a grantor and grants the lease asked for.
+  bool mLeaseGranted = false;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mDigest, aSelf.mLeaseGranted);
+  }
+};
+
+/// A new process tells the members of its zone its address, before it is in
+/// the view. The envelope has its name and incarnation.
+struct Join
+{
+  ZoneName mZone;
+  /// IP address in text form.
+  std::string mAddress;
+  uint16_t mEntryPort = 0;
+  uint16_t mPeerPort = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mZone, aSelf.mAddress, aSelf.mEntryPort, aSelf.mPeerPort);
+  }
+};
+
+/// Asks for the configuration if the receiver has a higher generation.
+struct FetchConfiguration
+{
+  uint64_t mKnownGeneration = 0;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mKnownGeneration); }
+};
+
+struct Configuration
+{
+  uint64_t mGeneration = 0;
+  /// The whole configuration as JSON text.
+  std::string mText;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mGeneration, aSelf.mText);
+  }
+};
+
+/// Asks for a zone's view if the receiver has a higher number.
+struct FetchView
+{
+  ZoneName mZone;
+  uint64_t mKnownNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mZone, aSelf.mKnownNumber);
+  }
+};
+
+/// A zone's view as read from the store, as JSON text.
+struct View
+{
+  ZoneName mZone;
+  std::string mText;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mZone, aSelf.mText); }
+};
+
+struct Withdrawal
+{
+  KeyId mKey;
+  /// Highest accepted configuration known to contain the key's record; 0 if
+  /// none is known.
+  uint64_t mSeenInGeneration = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mKey, aSelf.mSeenInGeneration);
+  }
+};
+
+/// Withdrawn keys that the receiver may lack. Also the reply: what the replier
+/// holds after merging.
+struct Withdrawals
+{
+  std::vector<Withdrawal> mWithdrawals;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mWithdrawals); }
+};
+
+/// Asks the owner of a workspace's account for tokens.
+struct Admit
+{
+  WorkspaceName mWorkspace;
+  uint32_t mTokens = 1;
+  /// Sent by another zone's account owner, which must not be forwarded again.
+  bool mFromOwner = false;
+  /// View of the receiver's zone by which the sender chose it.
+  uint64_t mViewNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mWorkspace, aSelf.mTokens, aSelf.mFromOwner, aSelf.mViewNumber);
+  }
+};
+
+struct AdmitReply
+{
+  /// Ok, RateExceeded, LimitOwnerUnavailable or StaleView.
+  ResultCode mCode = ResultCode::Ok;
+  uint32_t mTokens = 0;
+  /// How long the tokens may be used, counted from the request's sending.
+  uint32_t mValidMs = 0;
+  /// Tokens left with the owner, to choose whom to ask next.
+  uint32_t mTokensLeft = 0;
+  uint32_t mRetryAfterMs = 0;
+  uint64_t mViewNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mCode,
+                    aSelf.mTokens,
+                    aSelf.mValidMs,
+                    aSelf.mTokensLeft,
+                    aSelf.mRetryAfterMs,
+                    aSelf.mViewNumber);
+  }
+};
+
+/// The old owner of an account has stopped using it and hands over its tokens.
+struct AccountHandover
+{
+  WorkspaceName mWorkspace;
+  uint64_t mViewNumber = 0;
+  double mTokens = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mWorkspace, aSelf.mViewNumber, aSelf.mTokens);
+  }
+};
+
+struct AccountHandoverReply
+{
+  ResultCode mCode = ResultCode::Ok;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mCode); }
+};
+
+/// The old slot owner of a target has stopped dispatching to it. Sent again
+/// with fewer requests as they end.
+struct SlotHandover
+{
+  TargetName mTarget;
+  uint64_t mViewNumber = 0;
+  /// Requests of the old owner that still occupy slots.
+  uint32_t mInFlight = 0;
+  uint32_t mConnections = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mTarget, aSelf.mViewNumber, aSelf.mInFlight, aSelf.mConnections);
+  }
+};
+
+struct SlotHandoverReply
+{
+  ResultCode mCode = ResultCode::Ok;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mCode); }
+};
+
+/// Progress of a request with an idempotency key.
+enum class RecordState : uint8_t
+{
+  InProgress,
+  Answered,
+  RanAnswerLost,
+  OutcomeUnknown,
+  NotRun,
+};
+
+/// Record of a request with an idempotency key.
+struct Record
+{
+  WorkspaceName mWorkspace;
+  std::string mKey;
+  /// Hash of method, path and body length.
+  uint64_t mFingerprint = 0;
+  RecordState mState = RecordState::InProgress;
+  /// Age of the record when the message was sent.
+  uint32_t mAgeMs = 0;
+  uint16_t mAnswerStatus = 0;
+  std::string mAnswerContentType;
+  std::string mAnswerBody;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mWorkspace,
+                    aSelf.mKey,
+                    aSelf.mFingerprint,
+                    aSelf.mState,
+                    aSelf.mAgeMs,
+                    aSelf.mAnswerStatus,
+                    aSelf.mAnswerContentType,
+                    aSelf.mAnswerBody);
+  }
+};
+
+/// The primary writes a record to the backup.
+struct RecordPut
+{
+  uint16_t mPartition = 0;
+  uint64_t mViewNumber = 0;
+  Record mRecord;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mPartition, aSelf.mViewNumber, aSelf.mRecord);
+  }
+};
+
+struct RecordPutReply
+{
+  ResultCode mCode = ResultCode::Ok;
+  uint64_t mViewNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mCode, aSelf.mViewNumber);
+  }
+};
+
+struct RecordGet
+{
+  uint16_t mPartition = 0;
+  uint64_t mViewNumber = 0;
+  WorkspaceName mWorkspace;
+  std::string mKey;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mPartition, aSelf.mViewNumber, aSelf.mWorkspace, aSelf.mKey);
+  }
+};
+
+struct RecordGetReply
+{
+  ResultCode mCode = ResultCode::Ok;
+  uint64_t mViewNumber = 0;
+  std::optional<Record> mRecord;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mCode, aSelf.mViewNumber, aSelf.mRecord);
+  }
+};
+
+/// The primary of a new view collects a partition's records. The receiver
+/// refuses requests of lower views from then on.
+struct RecordCollect
+{
+  uint16_t mPartition = 0;
+  /// The new view.
+  uint64_t mViewNumber = 0;
+  /// The view whose primary or backup the receiver was.
+  uint64_t mFromViewNumber = 0;
+  /// 0 for the first page, then the previous reply's `mNextPage`.
+  uint64_t mPage = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mPartition, aSelf.mViewNumber, aSelf.mFromViewNumber, aSelf.mPage);
+  }
+};
+
+struct RecordCollectReply
+{
+  ResultCode mCode = ResultCode::Ok;
+  /// Last view for which the replier completed its own collection.
+  uint64_t mCompletedView = 0;
+  std::vector<Record> mRecords;
+  /// 0 if this is the last page.
+  uint64_t mNextPage = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mCode, aSelf.mCompletedView, aSelf.mRecords, aSelf.mNextPage);
+  }
+};
+
+/// Asks a grantor to refuse a member from now on.
+struct EvictConfirm
+{
+  ZoneName mZone;
+  /// The view that lists both the receiver and the member.
+  uint64_t mViewNumber = 0;
+  InstanceName mMember;
+  uint64_t mMemberIncarnation = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mZone, aSelf.mViewNumber, aSelf.mMember, aSelf.mMemberIncarnation);
+  }
+};
+
+struct EvictConfirmReply
+{
+  InstanceName mMember;
+  uint64_t mMemberIncarnation = 0;
+  /// The replier has not answered the member for 6 s and will not again.
+  bool mConfirmed = false;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mMember, aSelf.mMemberIncarnation, aSelf.mConfirmed);
+  }
+};
+
+/// The sender stops; it takes no new work and must not be chosen.
+struct Leaving
+{
+  ZoneName mZone;
+  /// Time until the sender expects to exit.
+  uint32_t mDrainMs = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mZone, aSelf.mDrainMs);
+  }
+};
+
+/// A request during which a backend server crashed.
+struct CrashSuspect
+{
+  /// Hash of workspace, method, path and body digest.
+  uint64_t mFingerprint = 0;
+  uint32_t mCrashes = 0;
+  TargetName mTarget;
+  /// Age of the last crash when the message was sent.
+  uint32_t mAgeMs = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mFingerprint, aSelf.mCrashes, aSelf.mTarget, aSelf.mAgeMs);
+  }
+};
+
+} // namespace pollenway::peer
--- /dev/null
+++ b/src/PeerMessage.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "PeerBodies.h"
+#include "Result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace pollenway {
+
+/// Identifies one run of an instance's process. Only equality counts; a
+/// process chooses it at its start so that no two runs have the same one.
+using Incarnation = uint64_t;
+
+/// Numbers of the message kinds in the protocol: never reuse one. Equal to
+/// the index in `PeerBody` plus one.
+enum class PeerKind : uint8_t
+{
+  Heartbeat = 1,
+  HeartbeatReply,
+  Join,
+  FetchConfiguration,
+  Configuration,
+  Withdrawals,
+  Admit,
+  AdmitReply,
+  AccountHandover,
+  AccountHandoverReply,
+  SlotHandover,
+  SlotHandoverReply,
+  RecordPut,
+  RecordPutReply,
+  RecordGet,
+  RecordGetReply,
+  RecordCollect,
+  RecordCollectReply,
+  EvictConfirm,
+  EvictConfirmReply,
+  Leaving,
+  CrashSuspect,
+  FetchView,
+  View,
+};
+
+using PeerBody = std::variant<peer::Heartbeat,
+                              peer::HeartbeatReply,
+                              peer::Join,
+                              peer::FetchConfiguration,
+                              peer::Configuration,
+                              peer::Withdrawals,
+                              peer::Admit,
+                              peer::AdmitReply,
+                              peer::AccountHandover,
+                              peer::AccountHandoverReply,
+                              peer::SlotHandover,
+                              peer::SlotHandoverReply,
+                              peer::RecordPut,
+                              peer::RecordPutReply,
+                              peer::RecordGet,
+                              peer::RecordGetReply,
+                              peer::RecordCollect,
+                              peer::RecordCollectReply,
+                              peer::EvictConfirm,
+                              peer::EvictConfirmReply,
+                              peer::Leaving,
+                              peer::CrashSuspect,
+                              peer::FetchView,
+                              peer::View>;
+
+/// The kind's name as in the enumeration, for logs and counters.
+std::string_view Name(PeerKind aKind);
+
+/// A message between instances: envelope and typed body.
+struct PeerMessage
+{
+  InstanceName mSender;
+  Incarnation mIncarnation = 0;
+  /// Chosen by the requester, never 0 for a request that wants an answer; a
+  /// reply repeats it.
+  uint64_t mRequestId = 0;
+  bool mIsReply = false;
+  /// Incarnation of the process that the message is meant for, 0 if the sender
+  /// does not know it. A reply repeats the requester's incarnation, so that a
+  /// restarted process takes no answer to a request of its predecessor.
+  Incarnation mReceiverIncarnation = 0;
+  PeerBody mBody;
+
+  PeerKind Kind() const { return PeerKind(mBody.index() + 1); }
+};
+
+/// Highest number of bytes after the length field of a frame.
+constexpr size_t kMaxPeerFrame = 1024 * 1024;
+constexpr unsigned kPeerProtocolVersion = 1;
+
+/// Encodes without the length field. Errors: MessageTooLarge.
+Result<std::string> EncodePeerMessage(const PeerMessage& aMessage);
+
+/// Encodes with the 4-byte big-endian length in front, ready to be sent.
+/// Errors: MessageTooLarge.
+Result<std::string> EncodePeerFrame(const PeerMessage& aMessage);
+
+/// Decodes the bytes after a frame's length field, which are not trusted:
+/// never throws, and its working memory is bounded by a constant multiple of
+/// the frame's size. Errors: MalformedMessage, MessageTooLarge,
+/// UnsupportedVersion.
+Result<PeerMessage> DecodePeerMessage(std::string_view aBytes);
+
+} // namespace pollenway
--- /dev/null
+++ b/test/PeerSamples.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "PeerMessage.h"
+
+#include <vector>
+
+namespace pollenway {
+
+template<size_t Index = 0>
+void AppendKinds(std::vector<PeerMessage>& aOut)
+{
+  if constexpr (Index < std::variant_size_v<PeerBody>) {
+    PeerMessage it;
+    it.mSender = InstanceName("akl-a-1");
+    it.mIncarnation = 0x1234567890abcdef;
+    it.mRequestId = 70'000 + Index;
+    it.mIsReply = Index % 2 == 1;
+    it.mReceiverIncarnation = 42;
+    it.mBody.emplace<Index>();
+    aOut.push_back(it);
+    AppendKinds<Index + 1>(aOut);
+  }
+}
+
+/// One message of each kind; those with lists have them filled.
+inline std::vector<PeerMessage> PeerSamples()
+{
+  std::vector<PeerMessage> out;
+  AppendKinds(out);
+  peer::Digest digest;
+  digest.mZone = ZoneName("akl-a");
+  digest.mGeneration = 17;
+  digest.mConfigurationHash = ~0ull;
+  digest.mViews = { { ZoneName("akl-a"), 3 }, { ZoneName("wlg-b"), 900 } };
+  digest.mWithdrawnCount = 2;
+  digest.mLeaving = true;
+  digest.mLoads = { { TargetName("lookup-1"), 9, 3, 9, 250 } };
+  const peer::Record record{ WorkspaceName("till"),
+                             "order-1",
+                             99,
+                             peer::RecordState::Answered,
+                             1000,
+                             201,
+                             "application/json",
+                             std::string("{\0}", 3) };
+  for (auto& it : out) {
+    if (auto* heartbeat = std::get_if<peer::Heartbeat>(&it.mBody)) {
+      heartbeat->mDigest = digest;
+      heartbeat->mLeaseWanted = true;
+    } else if (auto* reply = std::get_if<peer::HeartbeatReply>(&it.mBody)) {
+      reply->mDigest = digest;
+    } else if (auto* withdrawals = std::get_if<peer::Withdrawals>(&it.mBody)) {
+      withdrawals->mWithdrawals = { { KeyId("k1"), 4 }, { KeyId("k2"), 0 } };
+    } else if (auto* handover = std::get_if<peer::AccountHandover>(&it.mBody)) {
+      handover->mTokens = 2.5;
+    } else if (auto* found = std::get_if<peer::RecordGetReply>(&it.mBody)) {
+      found->mRecord = record;
+    } else if (auto* all = std::get_if<peer::RecordCollectReply>(&it.mBody)) {
+      all->mRecords = { record, record };
+      all->mCode = ResultCode::StaleView;
+    }
+  }
+  return out;
+}
+
+} // namespace pollenway
