Add the core of dispatch

Cause: the slot owner needs slots, a fair queue, retries and a quarantine; the receiving instance needs a target selector. Change: SlotTable (slots and connections with handover and eviction), FairQueue (weighted deficit round robin with deadlines), TargetSelector (least outstanding of two by tier, slow start, bounded ejection, random baseline), RetryBudget, RetryPolicy and CrashQuarantine, without I/O. Conclusion: the shell can be built on these interfaces.

--- /dev/null
+++ b/src/CrashQuarantine.cpp
@@ -0,0 +1,214 @@
+#include "CrashQuarantine.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace pollenway {
+
+namespace {
+
+// Expired entries are looked for at most once in this time, as it takes a pass
+// over all of them.
+constexpr Duration kExpiryStep = std::chrono::seconds(1);
+// Crashes of one request after which it is quarantined.
+constexpr size_t kCrashesToConvict = 2;
+
+} // namespace
+
+std::string RequestFingerprint::Text() const
+{
+  char buf[17];
+  std::snprintf(
+    buf, sizeof(buf), "%016llx", static_cast<unsigned long long>(mValue));
+  return buf;
+}
+
+CrashQuarantine::CrashQuarantine(CrashQuarantineOptions aOptions)
+  : mOptions(aOptions)
+{
+}
+
+void CrashQuarantine::Forget(RequestFingerprint aRequest)
+{
+  auto it = mSuspects.find(aRequest);
+  if (it == mSuspects.end()) {
+    return;
+  }
+  for (const auto& crash : it->second.mCrashes) {
+    auto at = mCrashes.find(crash);
+    if (at != mCrashes.end()) {
+      at->second.erase(aRequest);
+      if (at->second.empty()) {
+        mCrashes.erase(at);
+      }
+    }
+  }
+  mSuspects.erase(it);
+}
+
+void CrashQuarantine::Expire(TimePoint aNow)
+{
+  if (aNow < mNextExpiry) {
+    return;
+  }
+  mNextExpiry = aNow + kExpiryStep;
+  std::vector<RequestFingerprint> old;
+  for (const auto& [request, suspect] : mSuspects) {
+    const TimePoint since =
+      suspect.mQuarantinedUntil
+        ? std::max(*suspect.mQuarantinedUntil, suspect.mLastEvent)
+        : suspect.mLastEvent;
+    if (!suspect.mRunningOn && since + mOptions.mSuspectTtl <= aNow) {
+      old.push_back(request);
+    }
+  }
+  for (const auto& it : old) {
+    Forget(it);
+  }
+  std::erase_if(mSeen, [&](const auto& aEntry) {
+    return aEntry.second + mOptions.mSuspectTtl <= aNow;
+  });
+}
+
+CrashQuarantine::Verdict CrashQuarantine::Check(RequestFingerprint aRequest,
+                                                TimePoint aNow)
+{
+  if (mSuspects.empty()) {
+    return Verdict::Free;
+  }
+  Expire(aNow);
+  auto it = mSuspects.find(aRequest);
+  if (it == mSuspects.end()) {
+    return Verdict::Free;
+  }
+  const auto& until = it->second.mQuarantinedUntil;
+  return until && *until > aNow ? Verdict::Quarantined : Verdict::Suspect;
+}
+
+std::optional<TimePoint> CrashQuarantine::QuarantinedUntil(
+  RequestFingerprint aRequest) const
+{
+  auto it = mSuspects.find(aRequest);
+  return it == mSuspects.end() ? std::nullopt : it->second.mQuarantinedUntil;
+}
+
+bool CrashQuarantine::TryStartSuspect(RequestFingerprint aRequest,
+                                      const TargetName& aTarget,
+                                      TimePoint aNow)
+{
+  if (Check(aRequest, aNow) != Verdict::Suspect) {
+    return false;
+  }
+  for (const auto& [request, suspect] : mSuspects) {
+    if (suspect.mRunningOn &&
+        (request == aRequest || *suspect.mRunningOn == aTarget)) {
+      return false;
+    }
+  }
+  mSuspects.at(aRequest).mRunningOn = aTarget;
+  return true;
+}
+
+bool CrashQuarantine::OnCompleted(RequestFingerprint aRequest)
+{
+  if (!mSuspects.count(aRequest)) {
+    return false;
+  }
+  Forget(aRequest);
+  return true;
+}
+
+void CrashQuarantine::OnSuspectRunEnded(RequestFingerprint aRequest)
+{
+  auto it = mSuspects.find(aRequest);
+  if (it != mSuspects.end()) {
+    it->second.mRunningOn.reset();
+  }
+}
+
+void CrashQuarantine::OnCleared(RequestFingerprint aRequest)
+{
+  Forget(aRequest);
+}
+
+void CrashQuarantine::Convict(const std::set<RequestFingerprint>& aRequests,
+                              TimePoint aNow)
+{
+  std::set<CrashId> explained;
+  for (const auto& it : aRequests) {
+    auto& suspect = mSuspects.at(it);
+    const auto factor = 1u << std::min(suspect.mQuarantines, 10u);
+    suspect.mQuarantinedUntil = aNow + std::min(mOptions.mLongestQuarantine,
+                                                mOptions.mQuarantine * factor);
+    ++suspect.mQuarantines;
+    explained.merge(std::exchange(suspect.mCrashes, {}));
+  }
+  // Others in flight at the same crashes are no longer suspected for them.
+  for (const auto& crash : explained) {
+    auto at = mCrashes.find(crash);
+    if (at == mCrashes.end()) {
+      continue;
+    }
+    const auto others = std::move(at->second);
+    mCrashes.erase(at);
+    for (const auto& it : others) {
+      auto other = mSuspects.find(it);
+      if (other == mSuspects.end() || aRequests.count(it)) {
+        continue;
+      }
+      other->second.mCrashes.erase(crash);
+      if (other->second.mCrashes.empty() && !other->second.mQuarantines) {
+        Forget(it);
+      }
+    }
+  }
+}
+
+void CrashQuarantine::OnCrash(const CrashReport& aReport, TimePoint aNow)
+{
+  Expire(aNow);
+  if (!mSeen.emplace(aReport.mId, aNow).second) {
+    return;
+  }
+  std::set<RequestFingerprint> convicted;
+  for (const auto& it : aReport.mInFlight) {
+    auto& suspect = mSuspects[it];
+    suspect.mCrashes.insert(aReport.mId);
+    suspect.mRunningOn.reset();
+    suspect.mLastEvent = aNow;
+    mCrashes[aReport.mId].insert(it);
+    if (suspect.mCrashes.size() >= kCrashesToConvict ||
+        suspect.mQuarantines > 0) {
+      convicted.insert(it);
+    }
+  }
+  if (!convicted.empty()) {
+    Convict(convicted, aNow);
+  }
+  while (mSuspects.size() > mOptions.mMostSuspects) {
+    auto oldest = mSuspects.end();
+    for (auto it = mSuspects.begin(); it != mSuspects.end(); ++it) {
+      if (!it->second.mQuarantinedUntil &&
+          (oldest == mSuspects.end() ||
+           it->second.mLastEvent < oldest->second.mLastEvent)) {
+        oldest = it;
+      }
+    }
+    Forget(oldest == mSuspects.end() ? mSuspects.begin()->first
+                                     : oldest->first);
+  }
+}
+
+size_t CrashQuarantine::Quarantined(TimePoint aNow) const
+{
+  size_t n = 0;
+  for (const auto& [request, suspect] : mSuspects) {
+    n += suspect.mQuarantinedUntil && *suspect.mQuarantinedUntil > aNow ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/CrashReport.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Ids.h"
+#include "RequestFingerprint.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace pollenway {
+
+/// Names one crash of a target, as counted by the slot owner that saw it.
+struct CrashId
+{
+  InstanceName mObserver;
+  uint64_t mIncarnation = 0;
+  uint64_t mNumber = 0;
+
+  auto operator<=>(const CrashId&) const = default;
+};
+
+/// A crash and the requests that were in flight at the target, to announce to
+/// peers (CrashSuspect).
+struct CrashReport
+{
+  CrashId mId;
+  std::vector<RequestFingerprint> mInFlight;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/RetryBudget.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+
+namespace pollenway {
+
+/// Bounds of a `RetryBudget`.
+struct RetryBudgetOptions
+{
+  /// Retries earned by each request.
+  double mRatio = 0.1;
+  /// Retries allowed before any request earned one.
+  double mInitial = 3;
+  /// Most retries saved up, so that a quiet hour doesn't pay for a storm.
+  double mMost = 20;
+};
+
+/// Retries allowed for one service at one instance: never more than a tenth of
+/// its requests plus the initial allowance.
+class RetryBudget
+{
+public:
+  explicit RetryBudget(RetryBudgetOptions aOptions = {});
+
+  /// A caller's request (not a retry) was received.
+  void OnRequest();
+
+  /// Takes one retry; false if the budget is used up.
+  bool TryRetry();
+
+  uint64_t Requests() const { return mRequests; }
+  uint64_t Retries() const { return mRetries; }
+
+private:
+  RetryBudgetOptions mOptions;
+  double mBalance;
+  uint64_t mRequests = 0;
+  uint64_t mRetries = 0;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/SelectableTarget.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Ids.h"
+#include "Lifecycle.h"
+
+namespace pollenway {
+
+/// A target as the receiving instance sees it when it selects one.
+struct SelectableTarget
+{
+  TargetName mName;
+  ZoneName mZone;
+  RegionName mRegion;
+  /// One-way latency from the receiving instance's region, in milliseconds.
+  double mLatencyMs = 0;
+  unsigned mSlots = 1;
+  Lifecycle mState = Lifecycle::Live;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/SlotTable.cpp
@@ -0,0 +1,348 @@
+#include "SlotTable.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+
+namespace pollenway {
+
+SlotTable::Entry* SlotTable::Find(const TargetName& aTarget)
+{
+  auto it = mTargets.find(aTarget);
+  return it == mTargets.end() ? nullptr : &it->second;
+}
+
+const SlotTable::Entry* SlotTable::Find(const TargetName& aTarget) const
+{
+  auto it = mTargets.find(aTarget);
+  return it == mTargets.end() ? nullptr : &it->second;
+}
+
+unsigned SlotTable::FormerSlots(const Entry& aEntry)
+{
+  unsigned n = 0;
+  for (const auto& it : aEntry.mUses) {
+    n += it.mSlots;
+  }
+  return n;
+}
+
+unsigned SlotTable::FormerConnections(const Entry& aEntry)
+{
+  unsigned n = 0;
+  for (const auto& it : aEntry.mUses) {
+    n += it.mConnections;
+  }
+  return n;
+}
+
+void SlotTable::Expire(Entry& aEntry, TimePoint aNow)
+{
+  std::erase_if(aEntry.mUses, [aNow](const Use& aUse) {
+    return (aUse.mUntil && *aUse.mUntil <= aNow) ||
+           (aUse.mSlots == 0 && aUse.mConnections == 0);
+  });
+}
+
+void SlotTable::ForgetIfUnused(const TargetName& aTarget)
+{
+  auto it = mTargets.find(aTarget);
+  if (it != mTargets.end() && !it->second.mOwned &&
+      it->second.mTickets.empty() && it->second.mOpen == 0) {
+    mTargets.erase(it);
+  }
+}
+
+void SlotTable::SetTarget(const TargetName& aTarget, const SlotLimits& aLimits)
+{
+  auto& entry = mTargets[aTarget];
+  if (!entry.mOwned) {
+    entry.mOwned = true;
+    entry.mAwaiting = true;
+    entry.mReportedDraining = false;
+  }
+  entry.mLimits = aLimits;
+}
+
+void SlotTable::TakeOverUnused(const TargetName& aTarget)
+{
+  if (auto* entry = Find(aTarget)) {
+    entry->mAwaiting = false;
+  }
+}
+
+SlotHandover SlotTable::GiveUp(const TargetName& aTarget,
+                               const InstanceName& aSelf,
+                               TimePoint aNow)
+{
+  SlotHandover out{ .mTarget = aTarget };
+  auto* entry = Find(aTarget);
+  if (!entry || !entry->mOwned) {
+    return out;
+  }
+  Expire(*entry, aNow);
+  out.mDraining = entry->mReportedDraining;
+  if (!entry->mTickets.empty() || entry->mOpen > 0) {
+    out.mUses.push_back({ .mOwner = aSelf,
+                          .mSlots = unsigned(entry->mTickets.size()),
+                          .mConnections = entry->mOpen });
+  }
+  if (entry->mAwaiting) {
+    // This owner never learnt what the one before it holds.
+    out.mUses.push_back({ .mOwner = InstanceName(),
+                          .mSlots = entry->mLimits.mSlots,
+                          .mConnections = std::min(entry->mLimits.mSlots,
+                                                   entry->mLimits.mConnections),
+                          .mRemaining = entry->mLimits.mTimeout });
+  }
+  for (const auto& it : entry->mUses) {
+    out.mUses.push_back(
+      { .mOwner = it.mOwner,
+        .mSlots = it.mSlots,
+        .mConnections = it.mConnections,
+        .mRemaining = it.mUntil ? *it.mUntil - aNow : Duration(-1) });
+  }
+  entry->mOwned = false;
+  entry->mAwaiting = false;
+  entry->mUses.clear();
+  ForgetIfUnused(aTarget);
+  return out;
+}
+
+void SlotTable::TakeOver(const SlotHandover& aHandover,
+                         const InstanceName& aSelf,
+                         TimePoint aNow)
+{
+  auto* entry = Find(aHandover.mTarget);
+  if (!entry || !entry->mOwned) {
+    return;
+  }
+  entry->mAwaiting = false;
+  entry->mReportedDraining = entry->mReportedDraining || aHandover.mDraining;
+  for (const auto& it : aHandover.mUses) {
+    Use use{ .mOwner = it.mOwner,
+             .mSlots = it.mSlots,
+             .mConnections = it.mConnections,
+             .mSince = aNow };
+    if (it.mRemaining >= Duration::zero()) {
+      use.mUntil = aNow + it.mRemaining;
+    }
+    if (it.mOwner == aSelf) {
+      // What the tickets don't cover was held by an earlier process of this
+      // name, which is gone.
+      const auto own = unsigned(entry->mTickets.size());
+      use.mOwner = InstanceName();
+      use.mSlots -= std::min(use.mSlots, own);
+      use.mConnections -= std::min(use.mConnections, entry->mOpen);
+      use.mUntil = aNow + entry->mLimits.mTimeout;
+    }
+    auto known =
+      std::find_if(entry->mUses.begin(),
+                   entry->mUses.end(),
+                   [&](const Use& aUse) { return aUse.mOwner == use.mOwner; });
+    if (known == entry->mUses.end()) {
+      entry->mUses.push_back(std::move(use));
+    } else if (!use.mOwner.IsEmpty()) {
+      known->mSlots = std::min(known->mSlots, use.mSlots);
+      known->mConnections = std::min(known->mConnections, use.mConnections);
+    } else {
+      known->mSlots = std::max(known->mSlots, use.mSlots);
+      known->mConnections = std::max(known->mConnections, use.mConnections);
+      known->mUntil = std::max(known->mUntil, use.mUntil);
+    }
+  }
+}
+
+void SlotTable::TakeOverEvicted(const TargetName& aTarget, TimePoint aNow)
+{
+  auto* entry = Find(aTarget);
+  if (!entry || !entry->mOwned) {
+    return;
+  }
+  entry->mAwaiting = false;
+  const auto& limits = entry->mLimits;
+  const unsigned left =
+    limits.mSlots - std::min(limits.mSlots, FormerSlots(*entry));
+  const unsigned connections = std::min(limits.mSlots, limits.mConnections);
+  entry->mUses.push_back({ .mOwner = InstanceName(),
+                           .mSlots = left,
+                           .mConnections = connections,
+                           .mUntil = aNow + limits.mTimeout,
+                           .mSince = aNow });
+  entry->mLeastOwn = unsigned(entry->mTickets.size());
+}
+
+void SlotTable::OnFormerOwnerReport(const TargetName& aTarget,
+                                    const InstanceName& aOwner,
+                                    unsigned aSlots,
+                                    unsigned aConnections)
+{
+  auto* entry = Find(aTarget);
+  if (!entry) {
+    return;
+  }
+  for (auto& it : entry->mUses) {
+    if (it.mOwner == aOwner && !aOwner.IsEmpty()) {
+      it.mSlots = std::min(it.mSlots, aSlots);
+      it.mConnections = std::min(it.mConnections, aConnections);
+    }
+  }
+}
+
+void SlotTable::OnFormerOwnerGone(const InstanceName& aOwner, TimePoint aNow)
+{
+  for (auto& [name, entry] : mTargets) {
+    for (auto& it : entry.mUses) {
+      if (it.mOwner == aOwner && !aOwner.IsEmpty()) {
+        it.mOwner = InstanceName();
+        it.mUntil = aNow + entry.mLimits.mTimeout;
+        it.mSince = aNow;
+        it.mLastLoad.reset();
+      }
+    }
+  }
+}
+
+void SlotTable::OnLoadReport(const TargetName& aTarget,
+                             unsigned aLoad,
+                             TimePoint aProbeSent,
+                             TimePoint aNow)
+{
+  auto* entry = Find(aTarget);
+  if (!entry) {
+    return;
+  }
+  Expire(*entry, aNow);
+  // Requests that this owner had in flight during the whole interval can't be
+  // the former owner's; any other may be.
+  unsigned former = aLoad - std::min(aLoad, entry->mLeastOwn);
+  for (auto& it : entry->mUses) {
+    if (!it.mOwner.IsEmpty() || aProbeSent <= it.mSince) {
+      continue;
+    }
+    if (it.mLastLoad) {
+      const unsigned bound = std::max(*it.mLastLoad, former);
+      it.mSlots = std::min(it.mSlots, bound);
+      it.mConnections = std::min(it.mConnections, bound);
+    }
+    it.mLastLoad = former;
+  }
+  entry->mLeastOwn = unsigned(entry->mTickets.size());
+  Expire(*entry, aNow);
+}
+
+void SlotTable::SetReportedDraining(const TargetName& aTarget, bool aDraining)
+{
+  if (auto* entry = Find(aTarget)) {
+    entry->mReportedDraining = aDraining;
+  }
+}
+
+SlotState SlotTable::State(const TargetName& aTarget, TimePoint aNow)
+{
+  auto* entry = Find(aTarget);
+  if (!entry || !entry->mOwned) {
+    return SlotState::NotOwned;
+  }
+  if (entry->mLimits.mState != Lifecycle::Live || entry->mReportedDraining) {
+    return SlotState::Draining;
+  }
+  if (entry->mAwaiting) {
+    return SlotState::AwaitingHandover;
+  }
+  Expire(*entry, aNow);
+  return entry->mTickets.size() + FormerSlots(*entry) < entry->mLimits.mSlots
+           ? SlotState::Free
+           : SlotState::Full;
+}
+
+std::optional<SlotTicket> SlotTable::Acquire(const TargetName& aTarget,
+                                             TimePoint aNow)
+{
+  if (State(aTarget, aNow) != SlotState::Free) {
+    return std::nullopt;
+  }
+  auto& entry = *Find(aTarget);
+  const uint64_t number = mNextTicket++;
+  entry.mTickets.insert(number);
+  POLLENWAY_ASSERT(entry.mTickets.size() + FormerSlots(entry) <=
+                     entry.mLimits.mSlots,
+                   "more requests than the target has slots");
+  return SlotTicket{ .mTarget = aTarget, .mNumber = number };
+}
+
+bool SlotTable::Release(const SlotTicket& aTicket)
+{
+  auto* entry = Find(aTicket.mTarget);
+  if (!entry || entry->mTickets.erase(aTicket.mNumber) == 0) {
+    return false;
+  }
+  entry->mLeastOwn =
+    std::min(entry->mLeastOwn, unsigned(entry->mTickets.size()));
+  ForgetIfUnused(aTicket.mTarget);
+  return true;
+}
+
+bool SlotTable::OpenConnection(const TargetName& aTarget, TimePoint aNow)
+{
+  auto* entry = Find(aTarget);
+  if (!entry || !entry->mOwned) {
+    return false;
+  }
+  Expire(*entry, aNow);
+  if (entry->mAwaiting || entry->mOpen >= entry->mLimits.mSlots ||
+      entry->mOpen + FormerConnections(*entry) >= entry->mLimits.mConnections) {
+    return false;
+  }
+  ++entry->mOpen;
+  POLLENWAY_ASSERT(entry->mOpen + FormerConnections(*entry) <=
+                     entry->mLimits.mConnections,
+                   "more connections than the target accepts");
+  return true;
+}
+
+void SlotTable::CloseConnection(const TargetName& aTarget)
+{
+  auto* entry = Find(aTarget);
+  POLLENWAY_ASSERT(entry && entry->mOpen > 0,
+                   "a connection is closed that was not counted");
+  --entry->mOpen;
+  ForgetIfUnused(aTarget);
+}
+
+unsigned SlotTable::InFlight(const TargetName& aTarget) const
+{
+  const auto* entry = Find(aTarget);
+  return entry ? unsigned(entry->mTickets.size()) : 0;
+}
+
+unsigned SlotTable::Connections(const TargetName& aTarget) const
+{
+  const auto* entry = Find(aTarget);
+  return entry ? entry->mOpen : 0;
+}
+
+unsigned SlotTable::Occupied(const TargetName& aTarget, TimePoint aNow)
+{
+  auto* entry = Find(aTarget);
+  if (!entry) {
+    return 0;
+  }
+  Expire(*entry, aNow);
+  return unsigned(entry->mTickets.size()) + FormerSlots(*entry);
+}
+
+std::optional<TimePoint> SlotTable::NextExpiry() const
+{
+  std::optional<TimePoint> next;
+  for (const auto& [name, entry] : mTargets) {
+    for (const auto& it : entry.mUses) {
+      if (it.mUntil && (!next || *it.mUntil < *next)) {
+        next = it.mUntil;
+      }
+    }
+  }
+  return next;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/TargetObservations.cpp
@@ -0,0 +1,335 @@
+#include "TargetObservations.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenway {
+
+namespace {
+
+// Weight of one request in the running averages.
+constexpr double kSampleWeight = 0.1;
+// Requests in a row that end an ejection's doubling.
+constexpr unsigned kOkToForget = 50;
+
+} // namespace
+
+std::string_view Name(TargetReason aReason)
+{
+  switch (aReason) {
+    case TargetReason::Usable:
+      return "usable";
+    case TargetReason::NoRoom:
+      return "no-room";
+    case TargetReason::ReportedUnhealthy:
+      return "reported-unhealthy";
+    case TargetReason::Ejected:
+      return "ejected";
+    case TargetReason::Excluded:
+      return "excluded";
+    case TargetReason::ReportedDraining:
+      return "reported-draining";
+    case TargetReason::NotLive:
+      break;
+  }
+  return "not-live";
+}
+
+TargetObservations::TargetObservations(ZoneName aOwnZone,
+                                       RegionName aOwnRegion,
+                                       ObservationOptions aOptions)
+  : mOwnZone(std::move(aOwnZone))
+  , mOwnRegion(std::move(aOwnRegion))
+  , mOptions(aOptions)
+{
+}
+
+TargetObservations::State* TargetObservations::Find(const TargetName& aTarget)
+{
+  auto it = mIndex.find(aTarget);
+  return it == mIndex.end() ? nullptr : &mStates[it->second];
+}
+
+void TargetObservations::SetTargets(
+  const std::vector<SelectableTarget>& aTargets,
+  TimePoint aNow)
+{
+  const bool first = mStates.empty();
+  std::vector<State> states;
+  states.reserve(aTargets.size());
+  for (const auto& it : aTargets) {
+    State state;
+    const State* known = Find(it.mName);
+    if (known) {
+      state = *known;
+    }
+    const bool wasLive = known && known->mTarget.mState == Lifecycle::Live;
+    if (!first && !wasLive && it.mState == Lifecycle::Live) {
+      state.mWarmFrom = aNow;
+    }
+    state.mTarget = it;
+    states.push_back(std::move(state));
+  }
+  mStates = std::move(states);
+  mIndex.clear();
+  for (size_t i = 0; i < mStates.size(); ++i) {
+    mIndex[mStates[i].mTarget.mName] = i;
+  }
+}
+
+void TargetObservations::OnStart(const TargetName& aTarget)
+{
+  if (auto* state = Find(aTarget)) {
+    ++state->mOutstanding;
+  }
+}
+
+void TargetObservations::OnEnd(const TargetName& aTarget,
+                               RequestEnd aEnd,
+                               Duration aLatency,
+                               TimePoint aNow)
+{
+  auto* state = Find(aTarget);
+  if (!state) {
+    return;
+  }
+  // A target that was withdrawn and declared again has lost its count.
+  state->mOutstanding -= std::min(state->mOutstanding, 1u);
+  const auto addSample = [&](bool aFailed) {
+    state->mFailedShare +=
+      kSampleWeight * ((aFailed ? 1.0 : 0.0) - state->mFailedShare);
+    ++state->mSamples;
+  };
+  switch (aEnd) {
+    case RequestEnd::Ok: {
+      const double ms = ToSeconds(aLatency) * 1e3;
+      state->mLatencyMs =
+        state->mLatencyMs == 0
+          ? ms
+          : state->mLatencyMs + kSampleWeight * (ms - state->mLatencyMs);
+      addSample(false);
+      state->mFailuresInRow = 0;
+      state->mConnectFailuresInRow = 0;
+      state->mLastOk = aNow;
+      if (++state->mOkInRow >= kOkToForget) {
+        state->mEjections = 0;
+      }
+      break;
+    }
+    case RequestEnd::Failed:
+    case RequestEnd::ConnectFailed:
+      addSample(true);
+      state->mOkInRow = 0;
+      ++state->mFailuresInRow;
+      if (aEnd == RequestEnd::ConnectFailed) {
+        ++state->mConnectFailuresInRow;
+      }
+      break;
+    case RequestEnd::Shed:
+      state->mShedAt = aNow;
+      return;
+    case RequestEnd::Cancelled:
+      return;
+  }
+  if (IsOutlier(*state)) {
+    Eject(*state, aNow);
+  }
+}
+
+bool TargetObservations::IsOutlier(const State& aState) const
+{
+  if (aState.mFailuresInRow >= mOptions.mFailuresInRow ||
+      aState.mConnectFailuresInRow >= mOptions.mConnectFailuresInRow) {
+    return true;
+  }
+  if (aState.mSamples < mOptions.mLeastSamples) {
+    return false;
+  }
+  if (aState.mFailedShare > mOptions.mFailedShare) {
+    return true;
+  }
+  // The way to a distant target is not the target's fault.
+  const auto own = [](const State& aOf) {
+    return std::max(0.0, aOf.mLatencyMs - 2 * aOf.mTarget.mLatencyMs);
+  };
+  std::vector<double> others;
+  for (const auto& it : mStates) {
+    if (&it != &aState && it.mSamples >= mOptions.mLeastSamples) {
+      others.push_back(own(it));
+    }
+  }
+  if (others.size() < 2) {
+    return false;
+  }
+  auto middle = others.begin() + ptrdiff_t(others.size() / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  return own(aState) > mOptions.mSlowFactor * *middle;
+}
+
+void TargetObservations::Eject(State& aState, TimePoint aNow)
+{
+  if (aState.mEjectedUntil && *aState.mEjectedUntil > aNow) {
+    return;
+  }
+  unsigned live = 0;
+  for (const auto& it : mStates) {
+    live += it.mTarget.mState == Lifecycle::Live ? 1 : 0;
+  }
+  const auto most =
+    live < 2 ? 0u
+             : std::max(1u, unsigned(std::floor(mOptions.mMostEjected * live)));
+  if (Ejected(aNow) >= most) {
+    return;
+  }
+  const Duration length =
+    std::min(mOptions.mLongestEjection,
+             mOptions.mEjection * (1u << std::min(aState.mEjections, 10u)));
+  ++aState.mEjections;
+  aState.mEjectedUntil = aNow + length;
+  aState.mWarmFrom = *aState.mEjectedUntil;
+  aState.mFailuresInRow = 0;
+  aState.mConnectFailuresInRow = 0;
+  aState.mSamples = 0;
+  aState.mFailedShare = 0;
+  aState.mLatencyMs = 0;
+  POLLENWAY_ASSERT(Ejected(aNow) <= most, "more targets ejected than allowed");
+}
+
+void TargetObservations::OnCrash(const TargetName& aTarget, TimePoint aNow)
+{
+  if (auto* state = Find(aTarget)) {
+    // Also if the bound on ejections keeps the target in use.
+    state->mWarmFrom = aNow;
+    Eject(*state, aNow);
+  }
+}
+
+void TargetObservations::OnLoadSummary(const TargetName& aTarget,
+                                       const LoadSummary& aSummary)
+{
+  auto* state = Find(aTarget);
+  if (state &&
+      (!state->mSummary || state->mSummary->mCounted <= aSummary.mCounted)) {
+    state->mSummary = aSummary;
+    state->mOutstandingAtSummary = state->mOutstanding;
+  }
+}
+
+void TargetObservations::OnHealthReport(const TargetName& aTarget,
+                                        const HealthReport& aReport,
+                                        TimePoint aNow)
+{
+  auto* state = Find(aTarget);
+  if (!state) {
+    return;
+  }
+  const bool wasDraining = state->mReport && state->mReport->mDraining;
+  if (wasDraining && aReport.mAnswered && !aReport.mDraining) {
+    state->mWarmFrom = aNow;
+  }
+  // A failed probe doesn't withdraw the target's word that it is leaving.
+  const bool draining = aReport.mAnswered ? aReport.mDraining : wasDraining;
+  state->mReport =
+    HealthReport{ .mAnswered = aReport.mAnswered, .mDraining = draining };
+  state->mReportAt = aNow;
+}
+
+double TargetObservations::WarmthOf(const State& aState, TimePoint aNow) const
+{
+  if (!aState.mWarmFrom) {
+    return 1;
+  }
+  const double part =
+    ToSeconds(aNow - *aState.mWarmFrom) / ToSeconds(mOptions.mSlowStart);
+  return std::clamp(mOptions.mColdShare + part * (1 - mOptions.mColdShare),
+                    mOptions.mColdShare,
+                    1.0);
+}
+
+double TargetObservations::LoadOf(const State& aState, TimePoint aNow) const
+{
+  const double own = aState.mOutstanding;
+  if (!aState.mSummary) {
+    return own;
+  }
+  const double age = std::max(0.0, ToSeconds(aNow - aState.mSummary->mCounted));
+  const double weight = std::exp2(-age / ToSeconds(mOptions.mLoadHalfLife));
+  const double others = std::max(
+    0.0, aState.mSummary->mLoad - double(aState.mOutstandingAtSummary));
+  return own + weight * others;
+}
+
+TargetReason TargetObservations::ReasonOf(const State& aState,
+                                          double aRelativeLoad,
+                                          TimePoint aNow) const
+{
+  if (aState.mTarget.mState != Lifecycle::Live) {
+    return TargetReason::NotLive;
+  }
+  const bool reported =
+    aState.mReport && aNow - aState.mReportAt <= mOptions.mReportTtl;
+  if (reported && aState.mReport->mDraining) {
+    return TargetReason::ReportedDraining;
+  }
+  if (aState.mEjectedUntil && *aState.mEjectedUntil > aNow) {
+    return TargetReason::Ejected;
+  }
+  const bool seenWorking = aState.mLastOk && aState.mFailuresInRow == 0 &&
+                           aNow - *aState.mLastOk <= mOptions.mReportTtl;
+  if (reported && !aState.mReport->mAnswered && !seenWorking) {
+    return TargetReason::ReportedUnhealthy;
+  }
+  if (aRelativeLoad >= 1 ||
+      (aState.mShedAt && aNow - *aState.mShedAt < mOptions.mShedPause)) {
+    return TargetReason::NoRoom;
+  }
+  return TargetReason::Usable;
+}
+
+std::vector<TargetAssessment> TargetObservations::Assess(
+  std::span<const TargetName> aExcluded,
+  TimePoint aNow) const
+{
+  std::vector<TargetAssessment> out;
+  out.reserve(mStates.size());
+  for (const auto& it : mStates) {
+    TargetAssessment line;
+    line.mName = it.mTarget.mName;
+    if (it.mTarget.mZone == mOwnZone) {
+      line.mTier = 0;
+    } else if (it.mTarget.mRegion == mOwnRegion) {
+      line.mTier = 1;
+    } else {
+      line.mTier = 2 + it.mTarget.mLatencyMs;
+    }
+    line.mWarmth = WarmthOf(it, aNow);
+    const double room = std::max(1.0, double(it.mTarget.mSlots) * line.mWarmth);
+    line.mRelativeLoad = LoadOf(it, aNow) / room;
+    const bool excluded =
+      std::find(aExcluded.begin(), aExcluded.end(), line.mName) !=
+      aExcluded.end();
+    line.mReason = excluded ? TargetReason::Excluded
+                            : ReasonOf(it, line.mRelativeLoad, aNow);
+    out.push_back(std::move(line));
+  }
+  return out;
+}
+
+unsigned TargetObservations::Outstanding(const TargetName& aTarget) const
+{
+  auto it = mIndex.find(aTarget);
+  return it == mIndex.end() ? 0 : mStates[it->second].mOutstanding;
+}
+
+unsigned TargetObservations::Ejected(TimePoint aNow) const
+{
+  unsigned n = 0;
+  for (const auto& it : mStates) {
+    n += it.mEjectedUntil && *it.mEjectedUntil > aNow ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/TargetSelector.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "SelectionPolicy.h"
+#include "TargetObservations.h"
+
+#include <algorithm>
+
+namespace pollenway {
+
+/// Chooses a target of one service for a request that this instance received:
+/// the nearest tier (own zone, own region, others by latency) with room, and in
+/// it the policy's choice. If no tier has room, the request goes to wait in the
+/// nearest tier's queues.
+template<SelectionPolicy Policy>
+class BasicTargetSelector : public TargetObservations
+{
+public:
+  using TargetObservations::TargetObservations;
+
+  /// `aExcluded` are the targets that the request was tried on. Nothing if no
+  /// target may be used (`NoTarget`).
+  std::optional<TargetName> Select(std::span<const TargetName> aExcluded,
+                                   Random& aRandom,
+                                   TimePoint aNow) const
+  {
+    // Later reasons are used only if no target has an earlier one.
+    static constexpr TargetReason kOrder[] = {
+      TargetReason::Usable,
+      TargetReason::NoRoom,
+      TargetReason::ReportedUnhealthy,
+      TargetReason::Ejected,
+    };
+    auto all = Assess(aExcluded, aNow);
+    if constexpr (!Policy::kUsesLoad) {
+      for (auto& it : all) {
+        if (it.mReason == TargetReason::NoRoom) {
+          it.mReason = TargetReason::Usable;
+        }
+      }
+    }
+    std::vector<const TargetAssessment*> nearest;
+    for (const auto reason : kOrder) {
+      nearest.clear();
+      for (const auto& it : all) {
+        if (it.mReason != reason) {
+          continue;
+        }
+        if (!nearest.empty() && it.mTier < nearest.front()->mTier) {
+          nearest.clear();
+        }
+        if (nearest.empty() || it.mTier == nearest.front()->mTier) {
+          nearest.push_back(&it);
+        }
+      }
+      if (!nearest.empty()) {
+        return nearest[Policy::Choose(nearest, aRandom)]->mName;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+using TargetSelector = BasicTargetSelector<LeastOutstandingOfTwo>;
+
+} // namespace pollenway
--- /dev/null
+++ b/test/correctness/CrashQuarantine.cpp
@@ -0,0 +1,91 @@
+#include "CrashQuarantine.h"
+
+#include <doctest/doctest.h>
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Verdict = CrashQuarantine::Verdict;
+
+const TargetName kTarget("t");
+const TargetName kOther("u");
+const RequestFingerprint kPoison{ 1 };
+const RequestFingerprint kInnocent{ 2 };
+const RequestFingerprint kBystander{ 3 };
+
+CrashReport Crash(uint64_t aNumber, std::vector<RequestFingerprint> aInFlight)
+{
+  return { .mId = { .mObserver = InstanceName("a"), .mNumber = aNumber },
+           .mInFlight = std::move(aInFlight) };
+}
+
+TimePoint At(Duration aTime)
+{
+  return TimePoint(aTime);
+}
+
+} // namespace
+
+// Guards against a request that takes a third target, and against others that
+// stay under suspicion for a crash that is explained.
+TEST_CASE("the second crash quarantines the suspect and clears the others")
+{
+  CrashQuarantine it;
+  CHECK(it.Check(kPoison, At(0s)) == Verdict::Free);
+  it.OnCrash(Crash(1, { kPoison, kInnocent }), At(1s));
+  it.OnCrash(Crash(1, { kPoison, kInnocent }), At(1s));
+  CHECK(it.Check(kPoison, At(1s)) == Verdict::Suspect);
+  it.OnCrash(Crash(2, { kPoison, kBystander }), At(2s));
+  CHECK(it.Check(kPoison, At(2s)) == Verdict::Quarantined);
+  CHECK(it.QuarantinedUntil(kPoison) == At(62s));
+  CHECK(it.Check(kInnocent, At(2s)) == Verdict::Free);
+  CHECK(it.Check(kBystander, At(2s)) == Verdict::Free);
+  CHECK(it.Check(kPoison, At(62s)) == Verdict::Suspect);
+  it.OnCrash(Crash(3, { kPoison }), At(70s));
+  CHECK(it.Check(kPoison, At(189s)) == Verdict::Quarantined);
+  CHECK(it.Check(kPoison, At(190s)) == Verdict::Suspect);
+}
+
+// Guards against two suspects in one crash, which could not be told apart, and
+// against two runs of one suspect at once.
+TEST_CASE("suspects run one at a time")
+{
+  CrashQuarantine it;
+  it.OnCrash(Crash(1, { kPoison, kInnocent }), At(1s));
+  CHECK_FALSE(it.TryStartSuspect(kBystander, kTarget, At(1s)));
+  CHECK(it.TryStartSuspect(kPoison, kTarget, At(1s)));
+  CHECK_FALSE(it.TryStartSuspect(kPoison, kOther, At(1s)));
+  CHECK_FALSE(it.TryStartSuspect(kInnocent, kTarget, At(1s)));
+  CHECK(it.TryStartSuspect(kInnocent, kOther, At(1s)));
+  it.OnSuspectRunEnded(kPoison);
+  CHECK(it.TryStartSuspect(kPoison, kTarget, At(1s)));
+}
+
+// Guards against innocent requests under suspicion for long: one that
+// completes is cleared, one that never returns is forgotten.
+TEST_CASE("suspicion ends")
+{
+  CrashQuarantine it({ .mSuspectTtl = 100s });
+  it.OnCrash(Crash(1, { kPoison, kInnocent }), At(1s));
+  CHECK(it.OnCompleted(kInnocent));
+  CHECK_FALSE(it.OnCompleted(kInnocent));
+  CHECK(it.Check(kInnocent, At(1s)) == Verdict::Free);
+  CHECK(it.Check(kPoison, At(100s)) == Verdict::Suspect);
+  CHECK(it.Check(kPoison, At(102s)) == Verdict::Free);
+  CHECK(it.Suspects() == 0);
+}
+
+// Guards against unbounded memory.
+TEST_CASE("the number of suspects is bounded")
+{
+  CrashQuarantine it({ .mMostSuspects = 10 });
+  it.OnCrash(Crash(1, { kPoison }), At(1s));
+  it.OnCrash(Crash(2, { kPoison }), At(2s));
+  for (uint64_t i = 0; i < 100; ++i) {
+    it.OnCrash(Crash(10 + i, { RequestFingerprint{ 100 + i } }), At(3s));
+  }
+  CHECK(it.Suspects() == 10);
+  CHECK(it.Quarantined(At(3s)) == 1);
+}
--- /dev/null
+++ b/test/correctness/SlotTable.cpp
@@ -0,0 +1,128 @@
+#include "SlotTable.h"
+
+#include <doctest/doctest.h>
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TargetName kTarget("ledger-1");
+const InstanceName kOld("a");
+const InstanceName kNew("b");
+
+TimePoint At(Duration aTime)
+{
+  return TimePoint(aTime);
+}
+
+SlotTable Owner(unsigned aSlots, unsigned aConnections = 650)
+{
+  SlotTable table;
+  table.SetTarget(
+    kTarget,
+    { .mSlots = aSlots, .mConnections = aConnections, .mTimeout = 10s });
+  return table;
+}
+
+} // namespace
+
+// Guards against more requests at a target than it has slots.
+TEST_CASE("slots are limited and a ticket counts once")
+{
+  auto table = Owner(2);
+  CHECK(table.State(kTarget, At(0s)) == SlotState::AwaitingHandover);
+  CHECK_FALSE(table.Acquire(kTarget, At(0s)));
+  table.TakeOverUnused(kTarget);
+  auto first = table.Acquire(kTarget, At(0s));
+  REQUIRE(first);
+  REQUIRE(table.Acquire(kTarget, At(0s)));
+  CHECK_FALSE(table.Acquire(kTarget, At(0s)));
+  CHECK(table.Release(*first));
+  CHECK_FALSE(table.Release(*first));
+  CHECK(table.Acquire(kTarget, At(0s)));
+  CHECK(table.State(kTarget, At(0s)) == SlotState::Full);
+}
+
+// Guards against a new owner that forgets what the old one still runs, and
+// against counts that a late report or a repeated handover raises again.
+TEST_CASE("a former owner's requests count until it reports their end")
+{
+  auto old = Owner(3);
+  old.TakeOverUnused(kTarget);
+  auto running = old.Acquire(kTarget, At(0s));
+  REQUIRE(old.Acquire(kTarget, At(0s)));
+  const auto handover = old.GiveUp(kTarget, kOld, At(1s));
+  CHECK_FALSE(old.Acquire(kTarget, At(1s)));
+  CHECK(old.InFlight(kTarget) == 2);
+
+  auto next = Owner(3);
+  next.TakeOver(handover, kNew, At(1s));
+  CHECK(next.Occupied(kTarget, At(1h)) == 2);
+  CHECK(next.Acquire(kTarget, At(1s)));
+  CHECK_FALSE(next.Acquire(kTarget, At(1s)));
+  old.Release(*running);
+  next.OnFormerOwnerReport(kTarget, kOld, old.InFlight(kTarget), 0);
+  next.OnFormerOwnerReport(kTarget, kOld, 2, 0);
+  next.TakeOver(handover, kNew, At(2s));
+  CHECK(next.Occupied(kTarget, At(2s)) == 2);
+  next.OnFormerOwnerGone(kOld, At(2s));
+  CHECK(next.Occupied(kTarget, At(11s)) == 2);
+  CHECK(next.Occupied(kTarget, At(12s)) == 1);
+}
+
+// Guards against a count that nobody ever reports as ended when a target
+// comes back to the instance that gave it up.
+TEST_CASE("own requests of an earlier ownership count once")
+{
+  auto self = Owner(3);
+  self.TakeOverUnused(kTarget);
+  auto running = self.Acquire(kTarget, At(0s));
+  auto other = Owner(3);
+  other.TakeOver(self.GiveUp(kTarget, kOld, At(1s)), kNew, At(1s));
+  self.SetTarget(kTarget, { .mSlots = 3 });
+  self.TakeOver(other.GiveUp(kTarget, kNew, At(2s)), kOld, At(2s));
+  CHECK(self.Occupied(kTarget, At(2s)) == 1);
+  self.Release(*running);
+  CHECK(self.Occupied(kTarget, At(2s)) == 0);
+}
+
+// Guards against dispatch beside the unknown requests of an evicted owner, and
+// against trust in a single or an old load report.
+TEST_CASE("after an eviction slots free by two reports or by the timeout")
+{
+  auto table = Owner(4);
+  table.TakeOverEvicted(kTarget, At(10s));
+  CHECK(table.State(kTarget, At(10s)) == SlotState::Full);
+  table.OnLoadReport(kTarget, 0, At(9s), At(11s));
+  table.OnLoadReport(kTarget, 0, At(11s), At(11s));
+  CHECK(table.Occupied(kTarget, At(11s)) == 4);
+  table.OnLoadReport(kTarget, 1, At(12s), At(12s));
+  CHECK(table.Occupied(kTarget, At(12s)) == 1);
+  REQUIRE(table.Acquire(kTarget, At(12s)));
+  table.OnLoadReport(kTarget, 2, At(13s), At(13s));
+  CHECK(table.Occupied(kTarget, At(13s)) == 2);
+  CHECK(table.NextExpiry() == At(20s));
+  CHECK(table.Occupied(kTarget, At(20s)) == 1);
+}
+
+// Guards against new work at a leaving target and against connections above
+// the limit while a former owner's are still open.
+TEST_CASE("a draining target takes no work and connections are counted")
+{
+  auto table = Owner(2, 3);
+  table.TakeOver(
+    { .mTarget = kTarget, .mUses = { { .mOwner = kOld, .mConnections = 2 } } },
+    kNew,
+    At(0s));
+  CHECK(table.OpenConnection(kTarget, At(0s)));
+  CHECK_FALSE(table.OpenConnection(kTarget, At(0s)));
+  table.OnFormerOwnerReport(kTarget, kOld, 0, 0);
+  CHECK(table.OpenConnection(kTarget, At(0s)));
+  CHECK_FALSE(table.OpenConnection(kTarget, At(0s)));
+  table.SetReportedDraining(kTarget, true);
+  CHECK(table.State(kTarget, At(0s)) == SlotState::Draining);
+  table.SetReportedDraining(kTarget, false);
+  table.SetTarget(kTarget, { .mState = Lifecycle::Retired });
+  CHECK_FALSE(table.Acquire(kTarget, At(0s)));
+}
