--- /dev/null
+++ b/src/BackendDispatcher.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "ExchangeForwarder.h"
+#include "FairQueue.h"
+#include "FleetState.h"
+#include "SlotTable.h"
+
+#include <map>
+#include <memory>
+
+namespace pollenway {
+
+/// Runs requests at the targets whose slot owner this instance is: takes a
+/// slot or waits in the target's fair queue, then forwards.
+class BackendDispatcher
+{
+public:
+  BackendDispatcher(asio::any_io_executor aExecutor,
+                    FleetState& aFleet,
+                    ForwarderOptions aOptions);
+
+  /// One attempt at a target. Refused as not run if this instance is not the
+  /// target's slot owner, the target takes no work, the queue is full or the
+  /// deadline passes first.
+  Awaitable<AttemptResult> Dispatch(RequestContext& aRequest,
+                                    const Target& aTarget);
+
+  SlotTable& Slots() { return mSlots; }
+  /// Starts requests that wait, after slots became free.
+  void ServeQueue(const TargetName& aTarget);
+  /// Refuses all that wait for a target that has left or is no longer owned.
+  void ClearQueue(const TargetName& aTarget, ResultCode aCode);
+  size_t Queued(const TargetName& aTarget) const;
+  const ExchangeForwarder& Forwarder() const { return mForwarder; }
+
+private:
+  struct Waiter;
+  using Queue = FairQueue<std::shared_ptr<Waiter>>;
+
+  Awaitable<ResultCode> WaitForSlot(RequestContext& aRequest,
+                                    const Target& aTarget,
+                                    SlotTicket& aTicket);
+
+  asio::any_io_executor mExecutor;
+  FleetState& mFleet;
+  HttpClientPool mPool;
+  ExchangeForwarder mForwarder;
+  SlotTable mSlots;
+  std::map<TargetName, Queue> mQueues;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HeaderNames.h
@@ -0,0 +1,24 @@
+#pragma once
+
+namespace pollenway::header {
+
+constexpr char kOutcome[] = "Pollenway-Outcome";
+constexpr char kCode[] = "Pollenway-Code";
+constexpr char kWorkspace[] = "Pollenway-Workspace";
+constexpr char kRequestId[] = "Pollenway-Request-Id";
+constexpr char kDeadlineMs[] = "Pollenway-Deadline-Ms";
+constexpr char kNotRun[] = "Pollenway-Not-Run";
+constexpr char kIdempotencyKey[] = "Idempotency-Key";
+
+// Between instances only; removed from callers' requests.
+constexpr char kRelayTarget[] = "Pollenway-Relay-Target";
+constexpr char kRelayHops[] = "Pollenway-Relay-Hops";
+constexpr char kRelayExecution[] = "Pollenway-Relay-Execution";
+constexpr char kRelayWeight[] = "Pollenway-Relay-Weight";
+constexpr char kRelayFingerprint[] = "Pollenway-Relay-Fingerprint";
+/// In an answer: "answer", "refusal" or "failure".
+constexpr char kRelayResult[] = "Pollenway-Relay-Result";
+constexpr char kRelayFailure[] = "Pollenway-Relay-Failure";
+constexpr char kRelayBytesSent[] = "Pollenway-Relay-Bytes-Sent";
+
+} // namespace pollenway::header
--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "HttpClientConnection.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <limits>
@@ -93,20 +95,57 @@
   co_return ec;
 }
 
-Awaitable<ErrorCode> HttpClientConnection::ReadHeader(Duration aTimeout)
+Awaitable<bool> HttpClientConnection::WaitReadable(Duration aTimeout)
 {
+  if (mBuffer.size() > 0) {
+    co_return true;
+  }
+  asio::steady_timer timer(mStream.get_executor(), aTimeout);
+  bool expired = false;
+  timer.async_wait([&](const ErrorCode& aError) {
+    if (!aError) {
+      expired = true;
+      ErrorCode ignored;
+      mStream.socket().cancel(ignored);
+    }
+  });
   ErrorCode ec;
+  co_await mStream.socket().async_wait(tcp::socket::wait_read, Into(ec));
+  if (!expired) {
+    timer.cancel();
+    // Lets the cancelled handler run before its captures go out of scope.
+    co_await asio::post(mStream.get_executor(), asio::use_awaitable);
+  }
+  co_return !ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::ReadInterimHeader(Duration aTimeout)
+{
+  ErrorCode ec;
+  mParser.emplace();
+  mParser->body_limit(std::numeric_limits<uint64_t>::max());
+  mParser->skip(mIsHead);
   mStream.expires_after(aTimeout);
-  do {
-    mParser.emplace();
-    mParser->body_limit(std::numeric_limits<uint64_t>::max());
-    mParser->skip(mIsHead);
-    co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
-  } while (!ec && mParser->get().result() == http::status::continue_);
+  co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
   mFailed = mFailed || bool(ec);
   co_return ec;
 }
 
+bool HttpClientConnection::IsContinue() const
+{
+  return mParser->get().result() == http::status::continue_;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::ReadHeader(Duration aTimeout)
+{
+  for (;;) {
+    const ErrorCode ec = co_await ReadInterimHeader(aTimeout);
+    if (ec || !IsContinue()) {
+      co_return ec;
+    }
+  }
+}
+
 const ResponseHeader& HttpClientConnection::Header() const
 {
   return mParser->get().base();
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -30,6 +30,12 @@
   /// Writes header and body in one piece.
   Awaitable<ErrorCode> Write(TextRequest aRequest, Duration aTimeout);
 
+  /// Waits until the peer sends something, at most `aTimeout`. Unlike the
+  /// other calls, running out of time leaves the connection usable.
+  Awaitable<bool> WaitReadable(Duration aTimeout);
+  /// Reads one header, which may be "100 Continue".
+  Awaitable<ErrorCode> ReadInterimHeader(Duration aTimeout);
+  bool IsContinue() const;
   /// Reads the answer's header; skips "100 Continue".
   Awaitable<ErrorCode> ReadHeader(Duration aTimeout);
   const ResponseHeader& Header() const;
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -83,7 +83,7 @@
 Awaitable<ErrorCode> HttpConnection::SendContinue()
 {
   ErrorCode ec;
-  if (!ExpectsContinue() || mContinueSent) {
+  if (!ExpectsContinue() || mContinueSent || mAnswered) {
     co_return ec;
   }
   mContinueSent = true;
@@ -96,10 +96,11 @@
 Awaitable<Result<size_t>> HttpConnection::ReadSome(char* aData, size_t aSize)
 {
   auto& body = mParser->get().body();
+  ErrorCode ec = co_await SendContinue();
   while (!mParser->is_done()) {
     body.data = aData;
     body.size = aSize;
-    ErrorCode ec;
+    ec = {};
     mStream.expires_after(mLimits.mIdleTimeout);
     co_await http::async_read_some(mStream, mBuffer, *mParser, Into(ec));
     if (ec && ec != http::error::need_buffer) {
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -40,7 +40,8 @@
 
   /// Sends "100 Continue" once if the caller waits for it.
   Awaitable<ErrorCode> SendContinue();
-  /// Reads up to `aSize` body bytes; 0 at the end of the body.
+  /// Reads up to `aSize` body bytes; 0 at the end of the body. Sends "100
+  /// Continue" first if the caller waits for it.
   Awaitable<Result<size_t>> ReadSome(char* aData, size_t aSize);
   /// Reads the whole body. `TooLarge` if it exceeds `aLimit` bytes.
   Awaitable<Result<std::string>> ReadBody(size_t aLimit);
--- a/src/Logger.cpp
+++ b/src/Logger.cpp
@@ -27,6 +27,8 @@
 log4cxx::LevelPtr LevelOf(LogLevel aLevel)
 {
   switch (aLevel) {
+    case LogLevel::Trace:
+      return log4cxx::Level::getTrace();
     case LogLevel::Debug:
       return log4cxx::Level::getDebug();
     case LogLevel::Info:
@@ -65,7 +67,7 @@
 {
 }
 
-void InitLogging(const std::string& aLevel, const std::string& aProcessName)
+void InitLogging(LogLevel aLevel, const std::string& aProcessName)
 {
   using namespace log4cxx;
   const std::string pattern =
@@ -77,7 +79,7 @@
   appender->activateOptions(pool);
   RootLogger()->removeAllAppenders();
   RootLogger()->addAppender(appender);
-  RootLogger()->setLevel(Level::toLevel(aLevel, Level::getInfo()));
+  RootLogger()->setLevel(LevelOf(aLevel));
 }
 
 void Log(LogLevel aLevel,
--- a/src/Logger.h
+++ b/src/Logger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LogLevel.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -8,14 +10,6 @@
 
 namespace pollenway {
 
-enum class LogLevel
-{
-  Debug,
-  Info,
-  Warn,
-  Error,
-};
-
 /// One key and value of a log line.
 struct LogField
 {
--- /dev/null
+++ b/src/RelayServer.cpp
@@ -0,0 +1,109 @@
+#include "RelayServer.h"
+
+#include "HeaderNames.h"
+#include "HttpHeaders.h"
+#include "SteadyTime.h"
+
+namespace pollenway {
+
+namespace {
+
+/// Bodies up to this size are kept whole, so that they can be sent again.
+constexpr size_t kKeptBodyBytes = 64 * 1024;
+
+TextResponse RelayRefusal(ResultCode aCode)
+{
+  TextResponse answer = MakeRefusal(aCode, "refused by the slot owner");
+  answer.set(header::kRelayResult, "refusal");
+  return answer;
+}
+
+TextResponse RelayFailure(const AttemptResult& aResult)
+{
+  TextResponse answer(http::status::bad_gateway, 11);
+  answer.set(header::kRelayResult, "failure");
+  answer.set(header::kRelayFailure, std::to_string(int(*aResult.mFailure)));
+  answer.set(header::kRelayBytesSent, aResult.mBytesSent ? "1" : "0");
+  return answer;
+}
+
+} // namespace
+
+RelayServer::RelayServer(asio::any_io_executor aExecutor,
+                         FleetState& aFleet,
+                         BackendDispatcher& aDispatcher)
+  : mFleet(aFleet)
+  , mDispatcher(aDispatcher)
+  , mServer(aExecutor, {}, [this](HttpConnection& aConnection) {
+    return Handle(aConnection);
+  })
+{
+}
+
+Result<void> RelayServer::Listen()
+{
+  return mServer.Listen(mFleet.mSettings.mAddress, mFleet.mSettings.mRelayPort);
+}
+
+Awaitable<void> RelayServer::Handle(HttpConnection& aConnection)
+{
+  const auto inventory = mFleet.mInventory;
+  RequestHeader head = aConnection.Header();
+  const TargetName name(FieldText(head, header::kRelayTarget));
+  const Target* target = inventory ? inventory->FindTarget(name) : nullptr;
+  const Service* service =
+    target ? inventory->FindService(target->mService) : nullptr;
+  if (!service) {
+    const auto code =
+      inventory ? ResultCode::NoTarget : ResultCode::NoConfiguration;
+    TextResponse refusal = RelayRefusal(code);
+    co_await aConnection.Write(std::move(refusal));
+    co_return;
+  }
+  const uint64_t deadlineMs = NumberField(head, header::kDeadlineMs, 0);
+  const Duration left = std::min<Duration>(
+    std::chrono::milliseconds(deadlineMs), service->mTimeout);
+  RequestContext request{ .mSource = aConnection };
+  request.mId = FieldText(head, header::kRequestId);
+  request.mService = service->mName;
+  request.mExecution =
+    RouteExecution(NumberField(head, header::kRelayExecution, 1));
+  request.mWorkspace = WorkspaceName(FieldText(head, header::kWorkspace));
+  request.mWeight =
+    double(NumberField(head, header::kRelayWeight, 1000)) / 1000;
+  request.mFingerprint.mValue = NumberField(head, header::kRelayFingerprint, 0);
+  request.mDeadline = SteadyNow() + left;
+  request.mIdleTimeout = service->mIdleTimeout;
+  aConnection.SetIdleTimeout(service->mIdleTimeout);
+  const auto length = aConnection.BodyLength();
+  if (length && *length <= kKeptBodyBytes) {
+    auto body = co_await aConnection.ReadBody(kKeptBodyBytes);
+    if (!body) {
+      co_return;
+    }
+    request.mBody = std::move(body.value());
+    request.mBodyKept = true;
+    aConnection.WatchDisconnect([&request] {
+      request.mCallerGone = true;
+      if (request.mCancel) {
+        request.mCancel();
+      }
+    });
+  }
+  RemoveHopFields(head);
+  RemovePrivateFields(head);
+  request.mHeader = std::move(head);
+  AttemptResult result = co_await mDispatcher.Dispatch(request, *target);
+  if (result.mStreamed) {
+    co_return;
+  }
+  TextResponse answer = result.mAnswer;
+  if (result.mRefusal != ResultCode::Ok) {
+    answer = RelayRefusal(result.mRefusal);
+  } else if (result.mFailure) {
+    answer = RelayFailure(result);
+  }
+  co_await aConnection.Write(std::move(answer));
+}
+
+} // namespace pollenway
