--- a/src/Logger.h
+++ b/src/Logger.h
@@ -28,8 +28,7 @@
 };
 
 /// Sends log lines to the standard error stream through log4cxx.
-/// `aLevel` is "debug", "info", "warn" or "error".
-void InitLogging(const std::string& aLevel, const std::string& aProcessName);
+void InitLogging(LogLevel aLevel, const std::string& aProcessName);
 
 /// Writes one line of key=value pairs. Values with spaces or quotes are quoted.
 void Log(LogLevel aLevel,
--- /dev/null
+++ b/src/PeerLink.cpp
@@ -0,0 +1,144 @@
+#include "PeerLink.h"
+
+#include "Logger.h"
+#include "SteadyTime.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace pollenway {
+
+namespace {
+
+/// A peer that does not read is cut off rather than held in memory.
+constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+constexpr size_t kReadBytes = 32 * 1024;
+
+} // namespace
+
+PeerLink::PeerLink(tcp::socket aSocket, FrameHandler aHandler)
+  : mSocket(std::move(aSocket))
+  , mHandler(std::move(aHandler))
+  , mLastReceived(SteadyNow())
+{
+}
+
+Awaitable<bool> PeerLink::Connect(tcp::endpoint aEndpoint, Duration aTimeout)
+{
+  auto self = shared_from_this();
+  asio::steady_timer timer(mSocket.get_executor(), aTimeout);
+  timer.async_wait([self](const ErrorCode& aError) {
+    if (!aError) {
+      self->Close();
+    }
+  });
+  ErrorCode ec;
+  co_await mSocket.async_connect(aEndpoint, Into(ec));
+  timer.cancel();
+  if (ec || mClosed) {
+    Close();
+    co_return false;
+  }
+  mLastReceived = SteadyNow();
+  co_return true;
+}
+
+void PeerLink::Start()
+{
+  ErrorCode ec;
+  mSocket.set_option(tcp::no_delay(true), ec);
+  asio::co_spawn(
+    mSocket.get_executor(),
+    [self = shared_from_this()]() -> Awaitable<void> {
+      co_await self->ReadLoop();
+    },
+    asio::detached);
+}
+
+Awaitable<void> PeerLink::ReadLoop()
+{
+  auto self = shared_from_this();
+  std::string buf(kReadBytes, '\0');
+  while (!mClosed) {
+    ErrorCode ec;
+    const size_t n = co_await mSocket.async_read_some(
+      asio::buffer(buf.data(), buf.size()), Into(ec));
+    if (ec) {
+      break;
+    }
+    mLastReceived = SteadyNow();
+    mDecoder.Feed(std::string_view(buf.data(), n));
+    for (;;) {
+      auto next = mDecoder.Next();
+      if (!next) {
+        Log(LogLevel::Warn,
+            "peer_frame_refused",
+            { { "detail", next.error().mDetail } });
+        Close();
+        break;
+      }
+      if (!next.value()) {
+        break;
+      }
+      mHandler(self, std::move(*next.value()));
+    }
+  }
+  Close();
+}
+
+bool PeerLink::Send(std::string aFrame)
+{
+  if (mClosed) {
+    return false;
+  }
+  if (mQueuedBytes + aFrame.size() > kMaxQueuedBytes) {
+    Close();
+    return false;
+  }
+  mQueuedBytes += aFrame.size();
+  mQueue.push_back(std::move(aFrame));
+  if (!mWriting) {
+    mWriting = true;
+    asio::co_spawn(
+      mSocket.get_executor(),
+      [self = shared_from_this()]() -> Awaitable<void> {
+        co_await self->WriteLoop();
+      },
+      asio::detached);
+  }
+  return true;
+}
+
+Awaitable<void> PeerLink::WriteLoop()
+{
+  auto self = shared_from_this();
+  while (!mClosed && !mQueue.empty()) {
+    // Frames that queued up meanwhile leave in one write.
+    std::string batch;
+    while (!mQueue.empty()) {
+      batch += mQueue.front();
+      mQueue.pop_front();
+    }
+    ErrorCode ec;
+    co_await asio::async_write(mSocket, asio::buffer(batch), Into(ec));
+    mQueuedBytes -= batch.size();
+    if (ec) {
+      Close();
+    }
+  }
+  mWriting = false;
+}
+
+void PeerLink::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  ErrorCode ec;
+  mSocket.close(ec);
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/PeerTransport.cpp
@@ -0,0 +1,292 @@
+#include "PeerTransport.h"
+
+#include "Logger.h"
+#include "SteadyTime.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace pollenway {
+
+namespace {
+
+constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
+/// Frames that may wait for a link to be connected.
+constexpr size_t kMaxWaitingFrames = 1024;
+
+tcp::endpoint ToTcp(const IpEndpoint& aPeer)
+{
+  return { asio::ip::make_address(aPeer.mAddress), aPeer.mPort };
+}
+
+} // namespace
+
+struct PeerTransport::PendingCall
+{
+  PendingCall(asio::any_io_executor aExecutor, Duration aTimeout)
+    : mTimer(aExecutor, aTimeout)
+  {
+  }
+
+  asio::steady_timer mTimer;
+  IpEndpoint mPeer;
+  Incarnation mReceiver = 0;
+  std::optional<PeerMessage> mReply;
+};
+
+PeerTransport::PeerTransport(asio::any_io_executor aExecutor,
+                             InstanceInfo aSelf,
+                             Handler aHandler)
+  : mExecutor(aExecutor)
+  , mSelf(std::move(aSelf))
+  , mHandler(std::move(aHandler))
+  , mAcceptor(aExecutor)
+{
+}
+
+Result<void> PeerTransport::Listen(const std::string& aAddress, uint16_t aPort)
+{
+  ErrorCode ec;
+  const tcp::endpoint endpoint(asio::ip::make_address(aAddress, ec), aPort);
+  if (!ec) {
+    mAcceptor.open(endpoint.protocol(), ec);
+  }
+  if (!ec) {
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    mAcceptor.bind(endpoint, ec);
+  }
+  if (!ec) {
+    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return Error{ ResultCode::InvalidState,
+                  "can't listen on " + aAddress + ":" + std::to_string(aPort) +
+                    ": " + ec.message(),
+                  {} };
+  }
+  asio::co_spawn(mExecutor, Accept(), asio::detached);
+  return outcome::success();
+}
+
+PeerLink::FrameHandler PeerTransport::FrameHandler()
+{
+  return [this](const std::shared_ptr<PeerLink>& aLink, std::string aFrame) {
+    OnFrame(aLink, std::move(aFrame));
+  };
+}
+
+Awaitable<void> PeerTransport::Accept()
+{
+  while (!mStopping) {
+    ErrorCode ec;
+    tcp::socket socket(mExecutor);
+    co_await mAcceptor.async_accept(socket, Into(ec));
+    if (ec == asio::error::operation_aborted || mStopping) {
+      co_return;
+    }
+    if (ec) {
+      asio::steady_timer timer(mExecutor, std::chrono::milliseconds(20));
+      co_await timer.async_wait(Into(ec));
+      continue;
+    }
+    auto link = std::make_shared<PeerLink>(std::move(socket), FrameHandler());
+    std::erase_if(mInbound, [](const auto& aIt) { return aIt.expired(); });
+    mInbound.push_back(link);
+    link->Start();
+  }
+}
+
+PeerMessage PeerTransport::MakeMessage(PeerBody aBody) const
+{
+  PeerMessage message;
+  message.mSender = mSelf.mName;
+  message.mIncarnation = mSelf.mIncarnation;
+  message.mBody = std::move(aBody);
+  return message;
+}
+
+Awaitable<Result<PeerMessage>> PeerTransport::Call(IpEndpoint aPeer,
+                                                   Incarnation aReceiver,
+                                                   PeerBody aBody,
+                                                   Duration aTimeout)
+{
+  PeerMessage message = MakeMessage(std::move(aBody));
+  message.mRequestId = mNextRequestId++;
+  message.mReceiverIncarnation = aReceiver;
+  auto frame = EncodePeerFrame(message);
+  if (!frame) {
+    co_return frame.error();
+  }
+  auto pending = std::make_shared<PendingCall>(mExecutor, aTimeout);
+  pending->mPeer = aPeer;
+  pending->mReceiver = aReceiver;
+  mPending[message.mRequestId] = pending;
+  auto& link = mLinks[aPeer];
+  if (!link.mUnansweredSince) {
+    link.mUnansweredSince = SteadyNow();
+  }
+  SendTo(aPeer, std::move(frame.value()));
+  ErrorCode ec;
+  co_await pending->mTimer.async_wait(Into(ec));
+  mPending.erase(message.mRequestId);
+  if (!pending->mReply) {
+    co_return Error{ ResultCode::PeerUnavailable,
+                     "no reply from " + aPeer.mAddress,
+                     {} };
+  }
+  co_return std::move(*pending->mReply);
+}
+
+void PeerTransport::Notify(IpEndpoint aPeer, PeerBody aBody)
+{
+  auto frame = EncodePeerFrame(MakeMessage(std::move(aBody)));
+  if (frame) {
+    SendTo(aPeer, std::move(frame.value()));
+  }
+}
+
+void PeerTransport::SendTo(const IpEndpoint& aPeer, std::string aFrame)
+{
+  ++mStatistics.mSent;
+  mStatistics.mBytesSent += aFrame.size();
+  auto& out = mLinks[aPeer];
+  if (out.mLink && out.mLink->IsOpen() && !out.mConnecting) {
+    out.mLink->Send(std::move(aFrame));
+    return;
+  }
+  if (out.mWaiting.size() < kMaxWaitingFrames) {
+    out.mWaiting.push_back(std::move(aFrame));
+  }
+  if (!out.mConnecting) {
+    out.mConnecting = true;
+    asio::co_spawn(mExecutor, ConnectTo(aPeer), asio::detached);
+  }
+}
+
+Awaitable<void> PeerTransport::ConnectTo(IpEndpoint aPeer)
+{
+  auto link =
+    std::make_shared<PeerLink>(tcp::socket(mExecutor), FrameHandler());
+  const bool connected = co_await link->Connect(ToTcp(aPeer), kConnectTimeout);
+  auto& out = mLinks[aPeer];
+  out.mConnecting = false;
+  // Frames that waited for a failed connection are dropped: their calls time
+  // out, and notices are repeated by their senders.
+  auto waiting = std::exchange(out.mWaiting, {});
+  if (!connected || mStopping) {
+    link->Close();
+    co_return;
+  }
+  out.mLink = link;
+  link->Start();
+  for (auto& it : waiting) {
+    link->Send(std::move(it));
+  }
+}
+
+void PeerTransport::OnFrame(const std::shared_ptr<PeerLink>& aLink,
+                            std::string aFrame)
+{
+  ++mStatistics.mReceived;
+  mStatistics.mBytesReceived += aFrame.size();
+  auto message = DecodePeerMessage(aFrame);
+  if (!message) {
+    ++mStatistics.mRefusedFrames;
+    Log(LogLevel::Warn,
+        "peer_message_refused",
+        { { "code", int(message.error().mCode) },
+          { "detail", message.error().mDetail } });
+    aLink->Close();
+    return;
+  }
+  if (message.value().mIsReply) {
+    OnReply(std::move(message.value()));
+    return;
+  }
+  const Incarnation receiver = message.value().mReceiverIncarnation;
+  if (receiver != 0 && receiver != mSelf.mIncarnation) {
+    // Meant for a former run of this instance.
+    ++mStatistics.mDroppedReplies;
+    return;
+  }
+  asio::co_spawn(
+    mExecutor, Serve(aLink, std::move(message.value())), asio::detached);
+}
+
+void PeerTransport::OnReply(PeerMessage aMessage)
+{
+  const auto it = mPending.find(aMessage.mRequestId);
+  const bool mine = aMessage.mReceiverIncarnation == mSelf.mIncarnation;
+  const bool known = it != mPending.end() && !it->second->mReply && mine;
+  const bool sameRun =
+    known && (it->second->mReceiver == 0 ||
+              it->second->mReceiver == aMessage.mIncarnation);
+  if (!sameRun) {
+    ++mStatistics.mDroppedReplies;
+    return;
+  }
+  mLinks[it->second->mPeer].mUnansweredSince.reset();
+  it->second->mReply = std::move(aMessage);
+  it->second->mTimer.cancel();
+}
+
+Awaitable<void> PeerTransport::Serve(std::shared_ptr<PeerLink> aLink,
+                                     PeerMessage aMessage)
+{
+  const uint64_t id = aMessage.mRequestId;
+  const Incarnation requester = aMessage.mIncarnation;
+  auto body = co_await mHandler(std::move(aMessage));
+  if (!body || id == 0) {
+    co_return;
+  }
+  PeerMessage reply = MakeMessage(std::move(*body));
+  reply.mRequestId = id;
+  reply.mIsReply = true;
+  reply.mReceiverIncarnation = requester;
+  auto frame = EncodePeerFrame(reply);
+  if (frame) {
+    ++mStatistics.mSent;
+    mStatistics.mBytesSent += frame.value().size();
+    aLink->Send(std::move(frame.value()));
+  }
+}
+
+void PeerTransport::DropSilentLinks(Duration aSilence)
+{
+  const TimePoint now = SteadyNow();
+  for (auto& [peer, out] : mLinks) {
+    const bool silent = out.mLink && out.mLink->IsOpen() &&
+                        out.mUnansweredSince &&
+                        now - *out.mUnansweredSince > aSilence &&
+                        now - out.mLink->LastReceived() > aSilence;
+    if (silent) {
+      ++mStatistics.mReplacedLinks;
+      Log(LogLevel::Warn, "peer_link_silent", { { "peer", peer.mAddress } });
+      out.mLink->Close();
+      out.mLink.reset();
+      out.mUnansweredSince.reset();
+    }
+  }
+}
+
+void PeerTransport::Stop()
+{
+  mStopping = true;
+  ErrorCode ec;
+  mAcceptor.close(ec);
+  for (auto& [peer, out] : mLinks) {
+    if (out.mLink) {
+      out.mLink->Close();
+    }
+  }
+  for (const auto& it : mInbound) {
+    if (auto link = it.lock()) {
+      link->Close();
+    }
+  }
+}
+
+} // namespace pollenway
