--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -2,10 +2,9 @@
 
 #include "InventoryReader.h"
 #include "Logger.h"
+#include "Spawn.h"
 #include "SteadyTime.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include <random>
@@ -62,7 +61,7 @@
 {
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mRelayServer.Listen());
-  asio::co_spawn(mIo, SyncLoop(), asio::detached);
+  Spawn(mIo, SyncLoop());
   Log(LogLevel::Info,
       "started",
       { { "instance", mFleet.mSelf.mName.Text() },
@@ -83,7 +82,7 @@
   Log(LogLevel::Info,
       "stopping",
       { { "busy_connections", mFrontend.Server().BusyConnections() } });
-  asio::co_spawn(mIo, StopLoop(), asio::detached);
+  Spawn(mIo, StopLoop());
 }
 
 Awaitable<void> EntryServer::StopLoop()
@@ -149,7 +148,8 @@
     std::map<ZoneName, std::vector<InstanceInfo>> zones;
     const auto list = nlohmann::json::parse(listed.value().body());
     for (const auto& it : list) {
-      const auto& fields = it.at("value");
+      const auto fields =
+        nlohmann::json::parse(it.at("value").get<std::string>());
       const ZoneName zone(fields.at("zone").get<std::string>());
       zones[zone].push_back(
         { .mName = InstanceName(it.at("name").get<std::string>()),
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,7 +1,7 @@
 #include "HttpServer.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
+#include "Spawn.h"
+
 #include <boost/asio/steady_timer.hpp>
 
 namespace pollenway {
@@ -45,7 +45,7 @@
                     ": " + ec.message(),
                   {} };
   }
-  asio::co_spawn(mExecutor, Accept(), asio::detached);
+  Spawn(mExecutor, Accept());
   return outcome::success();
 }
 
@@ -73,7 +73,7 @@
     auto connection =
       std::make_shared<HttpConnection>(std::move(socket), mLimits);
     mConnections.insert(connection);
-    asio::co_spawn(mExecutor, Serve(connection), asio::detached);
+    Spawn(mExecutor, Serve(connection));
   }
 }
 
--- a/src/Logger.cpp
+++ b/src/Logger.cpp
@@ -82,6 +82,20 @@
   RootLogger()->setLevel(LevelOf(aLevel));
 }
 
+void InitLogging(const std::string& aLevel, const std::string& aProcessName)
+{
+  static constexpr std::pair<const char*, LogLevel> kLevels[] = {
+    { "trace", LogLevel::Trace }, { "debug", LogLevel::Debug },
+    { "info", LogLevel::Info },   { "warn", LogLevel::Warn },
+    { "error", LogLevel::Error },
+  };
+  LogLevel level = LogLevel::Info;
+  for (const auto& [name, value] : kLevels) {
+    level = aLevel == name ? value : level;
+  }
+  InitLogging(level, aProcessName);
+}
+
 void Log(LogLevel aLevel,
          std::string_view aEvent,
          std::initializer_list<LogField> aFields)
--- a/src/Logger.h
+++ b/src/Logger.h
@@ -30,6 +30,10 @@
 /// Sends log lines to the standard error stream through log4cxx.
 void InitLogging(LogLevel aLevel, const std::string& aProcessName);
 
+/// As above; `aLevel` is "trace", "debug", "info", "warn" or "error", and
+/// anything else counts as "info".
+void InitLogging(const std::string& aLevel, const std::string& aProcessName);
+
 /// Writes one line of key=value pairs. Values with spaces or quotes are quoted.
 void Log(LogLevel aLevel,
          std::string_view aEvent,
--- a/src/PeerLink.cpp
+++ b/src/PeerLink.cpp
@@ -1,10 +1,9 @@
 #include "PeerLink.h"
 
 #include "Logger.h"
+#include "Spawn.h"
 #include "SteadyTime.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -49,12 +48,10 @@
 {
   ErrorCode ec;
   mSocket.set_option(tcp::no_delay(true), ec);
-  asio::co_spawn(
-    mSocket.get_executor(),
-    [self = shared_from_this()]() -> Awaitable<void> {
-      co_await self->ReadLoop();
-    },
-    asio::detached);
+  Spawn(mSocket.get_executor(),
+        [self = shared_from_this()]() -> Awaitable<void> {
+          co_await self->ReadLoop();
+        });
 }
 
 Awaitable<void> PeerLink::ReadLoop()
@@ -101,12 +98,10 @@
   mQueue.push_back(std::move(aFrame));
   if (!mWriting) {
     mWriting = true;
-    asio::co_spawn(
-      mSocket.get_executor(),
-      [self = shared_from_this()]() -> Awaitable<void> {
-        co_await self->WriteLoop();
-      },
-      asio::detached);
+    Spawn(mSocket.get_executor(),
+          [self = shared_from_this()]() -> Awaitable<void> {
+            co_await self->WriteLoop();
+          });
   }
   return true;
 }
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -1,10 +1,9 @@
 #include "PeerTransport.h"
 
 #include "Logger.h"
+#include "Spawn.h"
 #include "SteadyTime.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 namespace pollenway {
@@ -67,7 +66,7 @@
                     ": " + ec.message(),
                   {} };
   }
-  asio::co_spawn(mExecutor, Accept(), asio::detached);
+  Spawn(mExecutor, Accept());
   return outcome::success();
 }
 
@@ -162,7 +161,7 @@
   }
   if (!out.mConnecting) {
     out.mConnecting = true;
-    asio::co_spawn(mExecutor, ConnectTo(aPeer), asio::detached);
+    Spawn(mExecutor, ConnectTo(aPeer));
   }
 }
 
@@ -212,8 +211,7 @@
     ++mStatistics.mDroppedReplies;
     return;
   }
-  asio::co_spawn(
-    mExecutor, Serve(aLink, std::move(message.value())), asio::detached);
+  Spawn(mExecutor, Serve(aLink, std::move(message.value())));
 }
 
 void PeerTransport::OnReply(PeerMessage aMessage)
