--- a/src/GrantorLease.cpp
+++ b/src/GrantorLease.cpp
@@ -18,8 +18,8 @@
   }
   mView = aView;
   // A run that was removed never returns, so its state is not needed.
-  std::erase_if(mStates, [&](const auto& it) {
-    return !mView.Contains(it.first, it.second.mIncarnation);
+  std::erase_if(mStates, [&](const auto& aOne) {
+    return !mView.Contains(aOne.first, aOne.second.mIncarnation);
   });
 }
 
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -110,7 +110,8 @@
   if constexpr (Body<T>) {
     const auto fields = T::Fields(aValue);
     aOut.pack_array(std::tuple_size_v<decltype(fields)>);
-    std::apply([&](const auto&... it) { (Pack(aOut, it), ...); }, fields);
+    std::apply([&](const auto&... aFields) { (Pack(aOut, aFields), ...); },
+               fields);
   } else if constexpr (IsVector<T>::value) {
     aOut.pack_array(uint32_t(aValue.size()));
     for (const auto& it : aValue) {
@@ -155,8 +156,9 @@
     return false;
   }
   const msgpack::object* next = aIn.via.array.ptr;
-  return std::apply([&](auto&... it) { return (Unpack(*next++, it) && ...); },
-                    fields);
+  return std::apply(
+    [&](auto&... aFields) { return (Unpack(*next++, aFields) && ...); },
+    fields);
 }
 
 template<typename T>
--- a/src/PendingRequests.cpp
+++ b/src/PendingRequests.cpp
@@ -77,7 +77,7 @@
 void PendingRequests::Abandon(const InstanceName& aPeer)
 {
   std::erase_if(mRequests,
-                [&](const auto& it) { return it.second.mPeer == aPeer; });
+                [&](const auto& aOne) { return aOne.second.mPeer == aPeer; });
 }
 
 } // namespace pollenway
--- a/src/ZoneMembership.cpp
+++ b/src/ZoneMembership.cpp
@@ -538,11 +538,11 @@
   mMaybeJoinedAt.reset();
   mEvictions.clear();
   mGrantor.AdoptView(aView, aNow);
-  std::erase_if(mPeers, [&](const auto& it) {
-    return !mView.Contains(it.first, it.second.mIncarnation);
+  std::erase_if(mPeers, [&](const auto& aOne) {
+    return !mView.Contains(aOne.first, aOne.second.mIncarnation);
   });
   std::erase_if(mJoinRequests,
-                [&](const auto& it) { return mView.Find(it.first); });
+                [&](const auto& aOne) { return mView.Find(aOne.first); });
   mOwnNeighbours = NeighboursOf(mOptions.mSelf.mName);
   // A run that joined without seeing it, and was removed, must not return.
   const bool isRemoved =
--- a/src/ZoneView.cpp
+++ b/src/ZoneView.cpp
@@ -77,7 +77,7 @@
   ZoneView out = aView;
   ++out.mNumber;
   std::erase_if(out.mMembers,
-                [&](const auto& it) { return it.mName == aMember.mName; });
+                [&](const auto& aOne) { return aOne.mName == aMember.mName; });
   out.mMembers.insert(
     std::upper_bound(
       out.mMembers.begin(), out.mMembers.end(), aMember, NameLess),
@@ -90,8 +90,8 @@
                        Incarnation aIncarnation)
 {
   ZoneView out = aView;
-  const auto removed = std::erase_if(out.mMembers, [&](const auto& it) {
-    return it.mName == aName && it.mIncarnation == aIncarnation;
+  const auto removed = std::erase_if(out.mMembers, [&](const auto& aOne) {
+    return aOne.mName == aName && aOne.mIncarnation == aIncarnation;
   });
   out.mNumber += removed;
   return out;
--- a/test/MembershipRun.h
+++ b/test/MembershipRun.h
@@ -307,7 +307,8 @@
     }
     aNode.mLastView = aView.mNumber;
     const auto owned = Owned(aNode);
-    std::erase_if(aNode.mHeld, [&](auto it) { return !owned.contains(it); });
+    std::erase_if(aNode.mHeld,
+                  [&](auto aOne) { return !owned.contains(aOne); });
   }
 
   void OnEnded(Node& aNode)
@@ -609,11 +610,11 @@
         break;
       }
       case 5:
-        CutSome(duration, [&](const Node& it) { return &it == &node; });
+        CutSome(duration, [&](const Node& aOne) { return &aOne == &node; });
         break;
       case 6:
         CutSome(duration,
-                [&](const Node& it) { return it.mZone == node.mZone; });
+                [&](const Node& aOne) { return aOne.mZone == node.mZone; });
         break;
       case 7:
         mSilent.insert({ node.mName, AnyNode().mName });
--- a/test/correctness/MembershipRun.cpp
+++ b/test/correctness/MembershipRun.cpp
@@ -1,4 +1,4 @@
-#include "MembershipRun.h"
+#include "../MembershipRun.h"
 
 #include <doctest/doctest.h>
 
--- a/test/correctness/PeerMessage.cpp
+++ b/test/correctness/PeerMessage.cpp
@@ -1,7 +1,7 @@
 #include "PeerMessage.h"
 
+#include "../PeerSamples.h"
 #include "FrameDecoder.h"
-#include "PeerSamples.h"
 
 #include <doctest/doctest.h>
 
--- a/test/error/PeerMessageBytes.cpp
+++ b/test/error/PeerMessageBytes.cpp
@@ -1,6 +1,6 @@
+#include "../PeerSamples.h"
 #include "FrameDecoder.h"
 #include "PeerMessage.h"
-#include "PeerSamples.h"
 #include "Random.h"
 
 #include <doctest/doctest.h>
