--- a/src/AccountHolder.cpp
+++ b/src/AccountHolder.cpp
@@ -42,27 +42,92 @@
   }
 }
 
-void AccountHolder::StartEmpty(TimePoint aNow)
+void AccountHolder::BeginTakeover(uint64_t aView,
+                                  std::vector<InstanceName> aOthers,
+                                  TimePoint aNow)
 {
-  if (mState != State::Idle) {
+  if (aView <= mView) {
     return;
   }
-  mState = State::Active;
+  mView = aView;
+  if (mState == State::Active) {
+    return;
+  }
+  mState = State::TakingOver;
+  mUnanswered = std::move(aOthers);
+  if (mUnanswered.empty()) {
+    StartEmpty(aNow);
+  }
+}
+
+void AccountHolder::OnHandoverAnswer(const InstanceName& aFrom,
+                                     const HandoverAnswer& aAnswer,
+                                     TimePoint aNow)
+{
+  if (mState != State::TakingOver || aAnswer.mView != mView ||
+      std::erase(mUnanswered, aFrom) == 0) {
+    return;
+  }
+  // Only one member can have held the account. It answers no request of an
+  // earlier view any more, so no takeover of such a view can complete.
+  if (aAnswer.mState) {
+    StartFrom(*aAnswer.mState, aNow);
+  } else if (mUnanswered.empty()) {
+    StartEmpty(aNow);
+  }
+}
+
+std::optional<HandoverAnswer> AccountHolder::HandOver(uint64_t aView,
+                                                      TimePoint aNow,
+                                                      Actions& aActions)
+{
+  if (aView < mView || (aView == mView && mState != State::Idle)) {
+    return std::nullopt;
+  }
+  if (aView == mView) {
+    return mAnswer;
+  }
+  mView = aView;
+  mAnswer = { .mView = aView };
+  if (mState == State::Active) {
+    RefuseAll(aNow, aActions);
+    AccountState state{ .mTokens = mBucket.Tokens(aNow),
+                        .mCommitted = mBalancer.Committed(),
+                        .mPending = mBalancer.Pending(),
+                        .mFenceRequired = mBalancer.IsFenceRequired(),
+                        .mGeneration = mGeneration,
+                        .mRate = mRate,
+                        .mBurst = mBurst,
+                        .mDemand = Demand(aNow) };
+    for (const auto& it : mBucket.Holds()) {
+      const Duration left = it.mUntil - aNow;
+      state.mHolds.push_back({ .mRemaining = left + left / kClockDriftDivisor,
+                               .mAmount = it.mAmount,
+                               .mHolder = it.mHolder,
+                               .mRequest = it.mRequest });
+    }
+    mAnswer.mState = std::move(state);
+  }
+  mBucket.Retire(aNow);
+  mAsks.clear();
+  mUnanswered.clear();
+  mState = State::Idle;
+  return mAnswer;
+}
+
+void AccountHolder::StartEmpty(TimePoint aNow)
+{
   // Grants of a predecessor may be in use until they expire. They are not
   // known here, so refilling starts when the last of them has expired.
-  mBucket = TokenBucket(0, 0, aNow + HoldTime(kMaxGrantValidity));
+  Start(TokenBucket(0, 0, aNow + HoldTime(kMaxGrantValidity)), aNow);
+  mBalancer.Restore(std::nullopt, std::nullopt);
   mBalancer.RequireFence();
-  mBalanceFrom = aNow + mOptions.mBalancer.mMoveInterval;
   Apply(aNow);
 }
 
-bool AccountHolder::AcceptHandover(const AccountState& aState, TimePoint aNow)
+void AccountHolder::StartFrom(const AccountState& aState, TimePoint aNow)
 {
-  if (mState != State::Idle) {
-    return false;
-  }
-  mState = State::Active;
-  mBucket = TokenBucket(0, 0, aNow);
+  Start(TokenBucket(0, 0, aNow), aNow);
   mBalancer.Restore(aState.mCommitted, aState.mPending);
   if (aState.mFenceRequired) {
     mBalancer.RequireFence();
@@ -77,43 +142,16 @@
                     aNow);
   }
   mBucket.Put(aState.mTokens, aNow);
+  mDemand = DemandEstimate(mOptions.mDemandMemory);
   mDemand.Add(aState.mDemand * ToSeconds(mOptions.mDemandMemory), aNow);
-  mBalanceFrom = aNow + mOptions.mBalancer.mMoveInterval;
-  return true;
 }
 
-std::optional<AccountState> AccountHolder::HandOver(uint64_t aHandoverId,
-                                                    TimePoint aNow,
-                                                    Actions& aActions)
+void AccountHolder::Start(TokenBucket aBucket, TimePoint aNow)
 {
-  if (mHandedOver && mHandedOver->mHandoverId == aHandoverId) {
-    return mHandedOver;
-  }
-  if (mState != State::Active) {
-    return std::nullopt;
-  }
-  RefuseAll(aNow, aActions);
-  AccountState state{ .mHandoverId = aHandoverId,
-                      .mTokens = mBucket.Tokens(aNow),
-                      .mCommitted = mBalancer.Committed(),
-                      .mPending = mBalancer.Pending(),
-                      .mFenceRequired = mBalancer.IsFenceRequired(),
-                      .mGeneration = mGeneration,
-                      .mRate = mRate,
-                      .mBurst = mBurst,
-                      .mDemand = Demand(aNow) };
-  for (const auto& it : mBucket.Holds()) {
-    const Duration left = it.mUntil - aNow;
-    state.mHolds.push_back({ .mRemaining = left + left / kClockDriftDivisor,
-                             .mAmount = it.mAmount,
-                             .mHolder = it.mHolder,
-                             .mRequest = it.mRequest });
-  }
-  mBucket.Retire(aNow);
-  mAsks.clear();
-  mState = State::HandedOver;
-  mHandedOver = state;
-  return state;
+  mState = State::Active;
+  mUnanswered.clear();
+  mBucket = std::move(aBucket);
+  mBalanceFrom = aNow + mOptions.mBalancer.mMoveInterval;
 }
 
 void AccountHolder::SetTotal(uint64_t aGeneration,
@@ -305,9 +343,11 @@
   return mBalancer.NextWrite(first, lowered, aNow);
 }
 
-void AccountHolder::OnWriteResult(WriteOutcome aOutcome, TimePoint aNow)
+void AccountHolder::OnWriteResult(uint64_t aSerial,
+                                  WriteOutcome aOutcome,
+                                  TimePoint aNow)
 {
-  mBalancer.OnWriteResult(aOutcome, aNow);
+  mBalancer.OnWriteResult(aSerial, aOutcome, aNow);
   Apply(aNow);
 }
 
--- a/src/AccountHolder.h
+++ b/src/AccountHolder.h
@@ -4,6 +4,7 @@
 #include "AdmitMessage.h"
 #include "Allotment.h"
 #include "DemandEstimate.h"
+#include "HandoverAnswer.h"
 #include "Ids.h"
 #include "ShareBalancer.h"
 #include "Time.h"
@@ -17,11 +18,11 @@
 
 namespace pollenway {
 
-/// What a zone's account owner runs for one workspace: the token bucket with
-/// the zone's share, exchange of tokens with other zones' owners, moves of the
-/// share, handover. Grants nothing before `StartEmpty` or `AcceptHandover`,
-/// after `HandOver`, without a valid lease, or before it knows the workspace's
-/// total and the allotment.
+/// A zone member's part in one workspace's account: as the account's owner, the
+/// token bucket with the zone's share, exchange of tokens with other zones'
+/// owners and moves of the share; handover to and from other members. Grants
+/// nothing before its takeover is complete, after `HandOver`, without a valid
+/// lease, or before it knows the workspace's total and the allotment.
 class AccountHolder
 {
 public:
@@ -80,20 +81,31 @@
                 std::vector<Peer> aPeers,
                 Options aOptions);
 
-  /// The predecessor has left or has been evicted, or there was none.
-  void StartEmpty(TimePoint aNow);
-
-  /// Continues the predecessor's account. False, without effect, if this
-  /// holder already started.
-  bool AcceptHandover(const AccountState& aState, TimePoint aNow);
-
-  /// Stops and returns the account for the new owner. A repeat of the same
-  /// request gets the same answer; another request gets none, because the
-  /// account can be handed over once only. The waiting requests' answers are
-  /// added to `aActions`.
-  std::optional<AccountState> HandOver(uint64_t aHandoverId,
-                                       TimePoint aNow,
-                                       Actions& aActions);
+  /// This instance is the owner in the zone's view `aView`, in which the
+  /// others are members. It starts as soon as one of them hands the account
+  /// over, or empty when all have answered that they hold nothing: who left
+  /// the view has left or has been evicted and grants nothing any more. An
+  /// owner of earlier views just continues.
+  void BeginTakeover(uint64_t aView,
+                     std::vector<InstanceName> aOthers,
+                     TimePoint aNow);
+
+  /// Members to which to send `AccountHandover` for the view, until they
+  /// answer.
+  const std::vector<InstanceName>& Unanswered() const { return mUnanswered; }
+
+  /// Answers to `BeginTakeover`; those of other views are ignored.
+  void OnHandoverAnswer(const InstanceName& aFrom,
+                        const HandoverAnswer& aAnswer,
+                        TimePoint aNow);
+
+  /// Another member is the owner in `aView`: stops, and answers with the
+  /// account if this instance held it. A repeat of the request gets the same
+  /// answer. A request of an earlier view than one seen gets none. The waiting
+  /// requests' answers are added to `aActions`.
+  std::optional<HandoverAnswer> HandOver(uint64_t aView,
+                                         TimePoint aNow,
+                                         Actions& aActions);
 
   /// Total of a configuration generation; lower generations are ignored.
   void SetTotal(uint64_t aGeneration,
@@ -124,7 +136,7 @@
                    TimePoint aNow);
   void OnCommitted(const Allotment& aCommitted, TimePoint aNow);
   std::optional<AllotmentWrite> NextWrite(TimePoint aNow, bool aLeaseValid);
-  void OnWriteResult(WriteOutcome aOutcome, TimePoint aNow);
+  void OnWriteResult(uint64_t aSerial, WriteOutcome aOutcome, TimePoint aNow);
 
   bool IsActive() const { return mState == State::Active; }
   double Tokens(TimePoint aNow) { return mBucket.Tokens(aNow); }
@@ -138,8 +150,8 @@
   enum class State
   {
     Idle,
+    TakingOver,
     Active,
-    HandedOver,
   };
 
   struct PeerZone
@@ -172,6 +184,9 @@
     Duration mValidity{};
   };
 
+  void StartEmpty(TimePoint aNow);
+  void StartFrom(const AccountState& aState, TimePoint aNow);
+  void Start(TokenBucket aBucket, TimePoint aNow);
   void Apply(TimePoint aNow);
   bool IsDividable() const;
   double EstimatedTokens(const ZoneName& aZone,
@@ -222,7 +237,11 @@
   std::map<uint64_t, Ask> mAsks;
   uint64_t mLastAsk = 0;
   TimePoint mBalanceFrom{};
-  std::optional<AccountState> mHandedOver;
+  /// The latest view in which this instance took over or handed over.
+  uint64_t mView = 0;
+  std::vector<InstanceName> mUnanswered;
+  /// The latest answer, for repeats of its request.
+  HandoverAnswer mAnswer;
 };
 
 } // namespace pollenway
--- a/src/AccountState.h
+++ b/src/AccountState.h
@@ -22,12 +22,9 @@
   uint64_t mRequest = 0;
 };
 
-/// What an account's old owner hands to the new one: the body of the peer
-/// message `AccountHandoverReply`.
+/// What an account's old owner hands to the new one.
 struct AccountState
 {
-  /// The request that this answers.
-  uint64_t mHandoverId = 0;
   double mTokens = 0;
   std::vector<RemainingHold> mHolds{};
   std::optional<Allotment> mCommitted{};
--- a/src/ShareBalancer.cpp
+++ b/src/ShareBalancer.cpp
@@ -36,9 +36,16 @@
                             const std::optional<PendingMove>& aPending)
 {
   mPending = aPending;
+  mInFlight.reset();
+  mFenceRequired = false;
+  mFenceBase = 0;
   if (aCommitted) {
     OnCommitted(*aCommitted);
   }
+  if (mPending && mCommitted &&
+      mCommitted->Version() > mPending->mWrite.mBaseVersion) {
+    mPending.reset();
+  }
   RequireRead();
 }
 
@@ -192,7 +199,7 @@
     return std::nullopt;
   }
   if (mAbsent) {
-    mInFlight = AllotmentWrite{ 0, aFirst };
+    mInFlight = AllotmentWrite{ .mBaseVersion = 0, .mValue = aFirst };
   } else if (!mCommitted) {
     return std::nullopt;
   } else if (mPending) {
@@ -201,15 +208,20 @@
     }
     mInFlight = mPending->mWrite;
   } else if (mFenceRequired && mFenceBase != 0) {
-    mInFlight = AllotmentWrite{ mCommitted->Version(),
-                                mCommitted->Moved(mZone, mZone, 0) };
+    mInFlight = AllotmentWrite{ .mBaseVersion = mCommitted->Version(),
+                                .mValue = mCommitted->Moved(mZone, mZone, 0) };
+  }
+  if (mInFlight) {
+    mInFlight->mSerial = ++mWriteSerial;
   }
   return mInFlight;
 }
 
-void ShareBalancer::OnWriteResult(WriteOutcome aOutcome, TimePoint aNow)
+void ShareBalancer::OnWriteResult(uint64_t aSerial,
+                                  WriteOutcome aOutcome,
+                                  TimePoint aNow)
 {
-  if (!mInFlight) {
+  if (!mInFlight || mInFlight->mSerial != aSerial) {
     return;
   }
   const AllotmentWrite write = *std::exchange(mInFlight, std::nullopt);
--- a/src/ShareBalancer.h
+++ b/src/ShareBalancer.h
@@ -22,6 +22,8 @@
 /// create-if-absent.
 struct AllotmentWrite
 {
+  /// Tells the attempt's result from results of others.
+  uint64_t mSerial = 0;
   uint64_t mBaseVersion = 0;
   Allotment mValue;
 };
@@ -80,7 +82,7 @@
   /// above that of a read made from now on is known.
   void RequireFence();
 
-  /// Takes over a predecessor's allotment and unresolved move.
+  /// Starts over with a predecessor's allotment and unresolved move.
   void Restore(const std::optional<Allotment>& aCommitted,
                const std::optional<PendingMove>& aPending);
 
@@ -109,7 +111,7 @@
                                           TimePoint aNow);
 
   /// A committed write also counts as having read the written version.
-  void OnWriteResult(WriteOutcome aOutcome, TimePoint aNow);
+  void OnWriteResult(uint64_t aSerial, WriteOutcome aOutcome, TimePoint aNow);
 
   /// The fraction that the zone's bucket may use (millionths).
   uint32_t UsableFraction() const;
@@ -138,6 +140,7 @@
   std::optional<PendingMove> mPending;
   bool mNeedsRead = true;
   uint64_t mReadSerial = 1;
+  uint64_t mWriteSerial = 0;
   bool mAbsent = false;
   bool mFenceRequired = false;
   /// Version read after the fence was required; 0 if not yet read.
