--- /dev/null
+++ b/bench/limits_model.cpp
@@ -0,0 +1,499 @@
+// Model run of the fleet-wide limits: the core classes on a simulated network
+// without faults, against one ideal bucket on the same arrivals.
+#include "AccountClient.h"
+#include "AccountHolder.h"
+#include "Random.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <vector>
+
+DEFINE_uint64(seed, 1, "seed of the arrivals");
+DEFINE_uint64(requests, 300000, "requests in each run");
+DEFINE_bool(options, false, "also run the options that were not chosen");
+
+using namespace pollenway;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr size_t kZones = 6;
+constexpr size_t kInstances = 17;
+constexpr size_t kNone = SIZE_MAX;
+const Duration kWarmUp = seconds(120);
+
+enum class Policy
+{
+  Default,
+  Exchange, ///< No share moves: equal shares, owners exchange tokens.
+  Static,   ///< Every instance has a 17th of rate and burst.
+};
+
+enum class Callers
+{
+  AnyInstance,
+  ZoneOwner, ///< Look-ups prefer the owner's instance in the caller's zone.
+  RestOwner, ///< Look-ups prefer the owner in the zone with the most share.
+};
+
+struct Setup
+{
+  std::string mName;
+  double mRate = 0;
+  double mBurst = 0;
+  Policy mPolicy = Policy::Default;
+  Callers mCallers = Callers::AnyInstance;
+  /// Part of the callers in the first zone; the rest is even over the others.
+  double mFirstZonePart = 1.0 / kZones;
+  AccountHolder::Options mHolder{};
+  AccountClient::Options mClient{};
+  /// Half-way, cut the first zone off and raise the load this many times.
+  double mCutLoad = 0;
+};
+
+struct Figures
+{
+  uint64_t mRequests = 0;
+  uint64_t mWrongful = 0;
+  uint64_t mRefused = 0;
+  uint64_t mIdealRefused = 0;
+  uint64_t mMessages = 0;
+  uint64_t mMoves = 0;
+  double mWaitMs = 0;
+  /// Served, in parts of what the demand before the cut had earned.
+  double mCutServed = 0;
+  double mOtherServed = 0;
+
+  double Part(uint64_t aCount) const
+  {
+    return mRequests ? double(aCount) / double(mRequests) : 0;
+  }
+};
+
+Duration Latency(size_t aFrom, size_t aTo)
+{
+  return aFrom == aTo           ? Duration(microseconds(200))
+         : aFrom / 2 == aTo / 2 ? Duration(microseconds(500))
+                                : Duration(milliseconds(55));
+}
+
+class Model
+{
+public:
+  explicit Model(const Setup& aSetup)
+    : mSetup(aSetup)
+    , mRandom(FLAGS_seed)
+    , mIdeal(aSetup.mRate, aSetup.mBurst, TimePoint{})
+  {
+    for (size_t n = 0; n < kZones; ++n) {
+      mZones.emplace_back("zone-" + std::to_string(n));
+    }
+    AccountHolder::Options options = aSetup.mHolder;
+    if (aSetup.mPolicy == Policy::Exchange) {
+      options.mBalancer.mMinBurstPerZone = 0;
+      options.mBalancer.mMoveInterval = std::chrono::hours(100000);
+    }
+    for (size_t n = 0; n < kInstances; ++n) {
+      mNames.emplace_back("instance-" + std::to_string(n));
+      mClients.emplace_back(mNames[n], mZones[ZoneOf(n)], aSetup.mClient);
+      mStatic.emplace_back(
+        aSetup.mRate / kInstances, aSetup.mBurst / kInstances, TimePoint{});
+    }
+    for (size_t n = 0; n < kZones; ++n) {
+      std::vector<AccountHolder::Peer> peers;
+      for (size_t to = 0; to < kZones; ++to) {
+        if (to != n) {
+          peers.push_back({ mZones[to], Latency(n, to) });
+        }
+      }
+      auto& holder = mHolders.emplace_back(std::make_unique<AccountHolder>(
+        mNames[n * 3], mZones[n], peers, options));
+      holder->SetTotal(1, aSetup.mRate, aSetup.mBurst, mNow);
+      holder->BeginTakeover(1, {}, mNow);
+      At(milliseconds(n), [this, n] { Tick(n); });
+      At(milliseconds(7 * n), [this, n] { Heartbeat(n); });
+    }
+    mWaiting.resize(kInstances);
+    At(seconds(5), [this] { Arrive(); });
+  }
+
+  Figures Run()
+  {
+    while (mFigures.mRequests < FLAGS_requests) {
+      Event event = mEvents.top();
+      mEvents.pop();
+      mNow = event.mAt;
+      event.mRun();
+    }
+    if (mCut) {
+      const double time = ToSeconds(mNow - mCutFrom);
+      const double earned = mSetup.mRate * mSetup.mFirstZonePart * time;
+      const double other = mSetup.mRate * time - earned;
+      mFigures.mCutServed = double(mCutServed) / earned;
+      mFigures.mOtherServed = double(mOtherServed) / other;
+    }
+    mFigures.mMessages -= mMessagesBefore;
+    mFigures.mWaitMs /= double(mFigures.mRequests);
+    return mFigures;
+  }
+
+private:
+  struct Event
+  {
+    TimePoint mAt;
+    uint64_t mSerial = 0;
+    std::function<void()> mRun;
+    bool operator<(const Event& aOther) const
+    {
+      return mAt != aOther.mAt ? mAt > aOther.mAt : mSerial > aOther.mSerial;
+    }
+  };
+
+  struct Request
+  {
+    bool mCounted = false;
+    bool mIdealAdmits = false;
+    TimePoint mArrived;
+    size_t mZone = 0;
+  };
+
+  static size_t ZoneOf(size_t aInstance) { return aInstance / 3; }
+
+  size_t IndexOf(const ZoneName& aZone) const
+  {
+    return size_t(std::find(mZones.begin(), mZones.end(), aZone) -
+                  mZones.begin());
+  }
+
+  void At(Duration aDelay, std::function<void()> aRun)
+  {
+    mEvents.push({ mNow + aDelay, ++mSerial, std::move(aRun) });
+  }
+
+  bool IsCut(size_t aFrom, size_t aTo) const
+  {
+    return mCut && aFrom != aTo && (aFrom == 0 || aTo == 0);
+  }
+
+  void Send(size_t aFrom, size_t aTo, std::function<void()> aRun)
+  {
+    ++mFigures.mMessages;
+    if (!IsCut(aFrom, aTo)) {
+      At(Latency(aFrom, aTo), std::move(aRun));
+    }
+  }
+
+  void Arrive()
+  {
+    const bool warm = mNow - TimePoint{} >= kWarmUp;
+    if (mSetup.mCutLoad > 0 && !mCut &&
+        mFigures.mRequests > FLAGS_requests / 2) {
+      mCut = true;
+      mCutFrom = mNow;
+    }
+    const double load = mCut ? mSetup.mCutLoad : 0.9;
+    At(FromSeconds(mRandom.Exponential(1 / (mSetup.mRate * load))),
+       [this] { Arrive(); });
+    const size_t zone =
+      mRandom.Chance(mSetup.mFirstZonePart) ? 0 : 1 + mRandom.Below(kZones - 1);
+    size_t instance = zone * 3 + mRandom.Below(zone == kZones - 1 ? 2 : 3);
+    if (mSetup.mCallers == Callers::ZoneOwner) {
+      instance = zone * 3;
+    } else if (mSetup.mCallers == Callers::RestOwner && mObject) {
+      size_t rest = 0;
+      for (size_t n = 0; n < kZones; ++n) {
+        if (mObject->Fraction(mZones[n]) > mObject->Fraction(mZones[rest])) {
+          rest = n;
+        }
+      }
+      instance = rest * 3;
+    }
+    if (!warm) {
+      mMessagesBefore = mFigures.mMessages;
+    }
+    const Request request{ .mCounted = warm,
+                           .mIdealAdmits = mIdeal.Take(1, mNow),
+                           .mArrived = mNow,
+                           .mZone = zone };
+    mFigures.mRequests += warm;
+    mFigures.mIdealRefused += warm && !request.mIdealAdmits;
+    if (mSetup.mPolicy == Policy::Static) {
+      Finish(request, mStatic[instance].Take(1, mNow));
+    } else {
+      Handle(instance, request, mClients[instance].Admit(mNow));
+    }
+  }
+
+  void Finish(const Request& aRequest, bool aAdmitted)
+  {
+    if (!aRequest.mCounted) {
+      return;
+    }
+    mFigures.mRefused += !aAdmitted;
+    mFigures.mWrongful += !aAdmitted && aRequest.mIdealAdmits;
+    mFigures.mWaitMs += 1000 * ToSeconds(mNow - aRequest.mArrived);
+    if (mCut && aAdmitted) {
+      ++(aRequest.mZone == 0 ? mCutServed : mOtherServed);
+    }
+  }
+
+  void Handle(size_t aInstance,
+              const Request& aRequest,
+              const AccountClient::Decision& aDecision)
+  {
+    switch (aDecision.mVerdict) {
+      case AccountClient::Verdict::Granted:
+        return Finish(aRequest, true);
+      case AccountClient::Verdict::Refused:
+        return Finish(aRequest, false);
+      case AccountClient::Verdict::Ignored:
+        return;
+      case AccountClient::Verdict::Ask:
+        break;
+    }
+    mWaiting[aInstance][aDecision.mRequest.mId] = aRequest;
+    Ask(aInstance, IndexOf(aDecision.mTo), aDecision.mRequest);
+  }
+
+  void Ask(size_t aFrom, size_t aZone, const AdmitRequest& aRequest)
+  {
+    const auto admit = [=, this] {
+      Perform(aZone, aFrom, mHolders[aZone]->Admit(aRequest, mNow, true));
+    };
+    if (aFrom == aZone * 3) {
+      admit();
+    } else {
+      Send(ZoneOf(aFrom), aZone, admit);
+    }
+  }
+
+  void Perform(size_t aZone,
+               size_t aFrom,
+               const AccountHolder::Actions& aActions)
+  {
+    for (const auto& it : aActions.mReplies) {
+      const AdmitReply reply = it.mReply;
+      if (it.mToOwner) {
+        Send(aZone, ZoneOf(aFrom), [=, this] {
+          Perform(ZoneOf(aFrom),
+                  aFrom,
+                  mHolders[ZoneOf(aFrom)]->OnReply(reply, mNow, true));
+        });
+        continue;
+      }
+      const size_t to = size_t(std::find(mNames.begin(), mNames.end(), it.mTo) -
+                               mNames.begin());
+      const auto receive = [=, this] {
+        const auto waiting = mWaiting[to].find(reply.mId);
+        const auto decision = mClients[to].OnReply(reply, mNow);
+        if (waiting != mWaiting[to].end()) {
+          const Request request = waiting->second;
+          mWaiting[to].erase(waiting);
+          Handle(to, request, decision);
+        }
+      };
+      if (to == aZone * 3) {
+        receive();
+      } else {
+        Send(aZone, ZoneOf(to), receive);
+      }
+    }
+    for (const auto& it : aActions.mAsks) {
+      Ask(aZone * 3, IndexOf(it.mTo), it.mRequest);
+    }
+  }
+
+  void Tick(size_t aZone)
+  {
+    At(milliseconds(100), [this, aZone] { Tick(aZone); });
+    AccountHolder& holder = *mHolders[aZone];
+    Perform(aZone, aZone * 3, holder.OnTimer(mNow, true));
+    for (size_t n = aZone * 3; n < kInstances && ZoneOf(n) == aZone; ++n) {
+      for (const uint64_t it : mClients[n].OnTimer(mNow)) {
+        Finish(mWaiting[n][it], false);
+        mWaiting[n].erase(it);
+      }
+    }
+    if (mCut && aZone == 0) {
+      return;
+    }
+    if (const auto serial = holder.NeededRead()) {
+      holder.OnStoreRead(*serial, mObject, mNow);
+    }
+    if (const auto write = holder.NextWrite(mNow, true)) {
+      const bool ok = (mObject ? mObject->Version() : 0) == write->mBaseVersion;
+      if (ok) {
+        mFigures.mMoves +=
+          mObject && mObject->Fractions() != write->mValue.Fractions();
+        mObject = write->mValue;
+      }
+      holder.OnWriteResult(write->mSerial,
+                           ok ? WriteOutcome::Committed
+                              : WriteOutcome::Conflict,
+                           mNow);
+    }
+    if (mObject) {
+      holder.OnCommitted(*mObject, mNow);
+    }
+  }
+
+  /// Demand and tokens travel in heartbeats, which are sent anyway and are
+  /// not counted as messages.
+  void Heartbeat(size_t aZone)
+  {
+    At(milliseconds(500), [this, aZone] { Heartbeat(aZone); });
+    const double demand = mHolders[aZone]->Demand(mNow);
+    const double tokens = mHolders[aZone]->Tokens(mNow);
+    for (size_t n = 0; n < kZones; ++n) {
+      if (n != aZone && !IsCut(aZone, n)) {
+        At(Latency(aZone, n), [=, this] {
+          mHolders[n]->ObserveZone(mZones[aZone], demand, tokens, mNow);
+        });
+      }
+    }
+  }
+
+  Setup mSetup;
+  Random mRandom;
+  TokenBucket mIdeal;
+  TimePoint mNow{};
+  uint64_t mSerial = 0;
+  std::priority_queue<Event> mEvents;
+  std::vector<ZoneName> mZones;
+  std::vector<InstanceName> mNames;
+  std::vector<AccountClient> mClients;
+  std::vector<TokenBucket> mStatic;
+  std::vector<std::unique_ptr<AccountHolder>> mHolders;
+  std::vector<std::map<uint64_t, Request>> mWaiting;
+  std::optional<Allotment> mObject;
+  Figures mFigures;
+  uint64_t mMessagesBefore = 0;
+  bool mCut = false;
+  TimePoint mCutFrom{};
+  uint64_t mCutServed = 0;
+  uint64_t mOtherServed = 0;
+};
+
+void Print(const Setup& aSetup)
+{
+  const Figures it = Model(aSetup).Run();
+  std::printf("| %g/s, %g | %s | %.3f | %.3f | %.3f | %.2f | %.2f | %llu |\n",
+              aSetup.mRate,
+              aSetup.mBurst,
+              aSetup.mName.c_str(),
+              100 * it.Part(it.mWrongful),
+              100 * it.Part(it.mRefused),
+              100 * it.Part(it.mIdealRefused),
+              it.Part(it.mMessages),
+              it.mWaitMs,
+              static_cast<unsigned long long>(it.mMoves));
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  struct Size
+  {
+    double mRate;
+    double mBurst;
+  };
+  const Size sizes[] = { { 5, 5 }, { 50, 20 }, { 400, 100 } };
+  std::printf("seed %llu, %llu requests in each run\n\n",
+              static_cast<unsigned long long>(FLAGS_seed),
+              static_cast<unsigned long long>(FLAGS_requests));
+  std::printf("| rate, burst | callers and policy | wrongful %% | refused %% | "
+              "ideal refused %% | messages/request | wait ms | moves |\n"
+              "| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const auto& it : sizes) {
+    Setup base{ .mName = "even, any instance",
+                .mRate = it.mRate,
+                .mBurst = it.mBurst };
+    Print(base);
+    Setup one = base;
+    one.mName = "one zone, any instance";
+    one.mFirstZonePart = 1;
+    Print(one);
+    Setup steered = base;
+    steered.mName = "even, owner in own zone";
+    steered.mCallers = Callers::ZoneOwner;
+    Print(steered);
+    Setup oneSteered = steered;
+    oneSteered.mName = "one zone, owner in own zone";
+    oneSteered.mFirstZonePart = 1;
+    Print(oneSteered);
+    Setup rest = base;
+    rest.mName = "even, owner in zone with most share";
+    rest.mCallers = Callers::RestOwner;
+    Print(rest);
+    Setup split = base;
+    split.mName = "baseline: static split by instance, even";
+    split.mPolicy = Policy::Static;
+    Print(split);
+    split.mName = "baseline: static split by instance, one zone";
+    split.mFirstZonePart = 1;
+    Print(split);
+    Setup still = steered;
+    still.mName = "baseline: no share movement, even, owner in own zone";
+    still.mPolicy = Policy::Exchange;
+    Print(still);
+    still.mName = "baseline: no share movement, one zone, owner in own zone";
+    still.mFirstZonePart = 1;
+    Print(still);
+    if (FLAGS_options) {
+      Setup small = steered;
+      small.mHolder.mBalancer.mMinRate = 100;
+      small.mName =
+        "option: rate * 0.1 s < 10 rests with one zone, even, owner";
+      Print(small);
+      small.mFirstZonePart = 1;
+      small.mName = "option: rate * 0.1 s < 10 rests with one zone, one, owner";
+      Print(small);
+      for (const uint32_t reserve : { 0u, 50'000u, 100'000u }) {
+        Setup reserved = steered;
+        reserved.mHolder.mBalancer.mMinBurstPerZone = 0;
+        reserved.mHolder.mBalancer.mReserve = reserve;
+        reserved.mName = "option: always divided, reserve " +
+                         std::to_string(reserve / 10000) + " %, even, owner";
+        Print(reserved);
+        reserved.mFirstZonePart = 1;
+        reserved.mName = "option: always divided, reserve " +
+                         std::to_string(reserve / 10000) + " %, one, owner";
+        Print(reserved);
+      }
+    }
+  }
+  std::printf(
+    "\nFirst zone cut off, load 1.5 times the rate: served, in parts "
+    "of what recent demand had earned\n\n"
+    "| rate, burst | demand of the zone before | in the zone | outside "
+    "|\n| --- | --- | --- | --- |\n");
+  for (const auto& it : sizes) {
+    for (const double part : { 1.0 / kZones, 0.5 }) {
+      Setup cut{ .mName = "",
+                 .mRate = it.mRate,
+                 .mBurst = it.mBurst,
+                 .mCallers = Callers::ZoneOwner,
+                 .mFirstZonePart = part,
+                 .mCutLoad = 1.5 };
+      const Figures figures = Model(cut).Run();
+      std::printf("| %g/s, %g | %.0f %% | %.3f | %.3f |\n",
+                  it.mRate,
+                  it.mBurst,
+                  100 * part,
+                  figures.mCutServed,
+                  figures.mOtherServed);
+    }
+  }
+  return 0;
+}
--- a/src/ShareBalancer.cpp
+++ b/src/ShareBalancer.cpp
@@ -226,6 +226,10 @@
   }
   const AllotmentWrite write = *std::exchange(mInFlight, std::nullopt);
   if (aOutcome == WriteOutcome::Committed) {
+    // Nobody can have written since the takeover with this base or a higher
+    // one, so no predecessor's write can take effect any more.
+    mFenceRequired = false;
+    mFenceBase = 0;
     OnCommitted(write.mValue);
     return;
   }
