Add the load generator

Cause: end-to-end runs and comparisons with direct requests need callers that look up instances, retry blindly and check every answer. HttpClientConnection and HttpClientPool can bind a local address.

--- a/apps/pollenway-backend/BackendTarget.cpp
+++ b/apps/pollenway-backend/BackendTarget.cpp
@@ -34,6 +34,13 @@
   return kPattern;
 }
 
+void SetRequestId(TextResponse& aAnswer, const std::string& aRequestId)
+{
+  if (!aRequestId.empty()) {
+    aAnswer.set("Pollenway-Request-Id", aRequestId);
+  }
+}
+
 } // namespace
 
 /// State of one request.
@@ -244,7 +251,7 @@
   if (mFaults.mFailing) {
     auto answer =
       ErrorAnswer(http::status::internal_server_error, "injected failure");
-    answer.set("Pollenway-Request-Id", exchange.mRequestId);
+    SetRequestId(answer, exchange.mRequestId);
     co_await aConnection.Write(std::move(answer));
     co_return;
   }
@@ -254,7 +261,7 @@
     auto answer = ErrorAnswer(http::status::service_unavailable,
                               tooLate ? "deadline passed" : "all slots in use");
     answer.set("Pollenway-Not-Run", "1");
-    answer.set("Pollenway-Request-Id", exchange.mRequestId);
+    SetRequestId(answer, exchange.mRequestId);
     co_await aConnection.Write(std::move(answer));
     co_return;
   }
@@ -344,7 +351,7 @@
     ++mDeadlineExceeded;
     auto answer = ErrorAnswer(http::status::gateway_timeout,
                               "stopped at the request's deadline");
-    answer.set("Pollenway-Request-Id", aExchange.mRequestId);
+    SetRequestId(answer, aExchange.mRequestId);
     co_await aConnection.Write(std::move(answer));
     co_return;
   }
@@ -379,7 +386,7 @@
   document["bytes"] = aExchange.mBytes;
   document["checksum"] = aExchange.mChecksum;
   auto answer = JsonAnswer(http::status::ok, document);
-  answer.set("Pollenway-Request-Id", requestId);
+  SetRequestId(answer, requestId);
   if (mRandom.Chance(mFaults.mCutAnswers)) {
     ++mCut;
     answer.content_length(answer.body().size());
@@ -402,7 +409,7 @@
     aExchange.mTarget.Number("pause_ms").value_or(0), 60'000));
   TextResponse prepared(http::status::ok, 11);
   prepared.set(http::field::content_type, "application/octet-stream");
-  prepared.set("Pollenway-Request-Id", aExchange.mRequestId);
+  SetRequestId(prepared, aExchange.mRequestId);
   prepared.set("X-Echo", aExchange.mEcho);
   prepared.content_length(left);
   ResponseHeader header = prepared.base();
--- /dev/null
+++ b/apps/pollenway-load/InstanceCache.cpp
@@ -0,0 +1,121 @@
+#include "InstanceCache.h"
+
+#include "SteadyTime.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pollenway {
+
+namespace {
+
+constexpr auto kLookupTimeout = std::chrono::seconds(2);
+constexpr auto kAvoidTime = std::chrono::seconds(2);
+constexpr size_t kMaxLookupAnswer = 64 * 1024;
+
+} // namespace
+
+InstanceCache::InstanceCache(HttpClientPool& aPool,
+                             const std::vector<IpEndpoint>& aBootstrap,
+                             Random& aRandom,
+                             LoadStatistics& aStatistics)
+  : mPool(aPool)
+  , mBootstrap(aBootstrap)
+  , mRandom(aRandom)
+  , mStatistics(aStatistics)
+{
+}
+
+void InstanceCache::Avoid(const tcp::endpoint& aEndpoint)
+{
+  mAvoided[aEndpoint] = SteadyNow() + kAvoidTime;
+}
+
+Awaitable<std::optional<tcp::endpoint>> InstanceCache::Find(
+  const std::string& aService)
+{
+  // References into a std::map stay valid while others are added.
+  Entry& entry = mEntries[aService];
+  const bool expired = SteadyNow() >= entry.mExpiry;
+  if (entry.mInstances.empty() || (expired && !entry.mRefreshing)) {
+    entry.mRefreshing = true;
+    co_await Refresh(aService);
+    entry.mRefreshing = false;
+  }
+  co_return Choose(entry);
+}
+
+Awaitable<void> InstanceCache::Refresh(const std::string& aService)
+{
+  const size_t first = mRandom.Below(mBootstrap.size());
+  for (size_t i = 0; i < mBootstrap.size(); ++i) {
+    const auto& address = mBootstrap[(first + i) % mBootstrap.size()];
+    ErrorCode ec;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.mAddress, ec),
+                                 address.mPort);
+    TextRequest request(
+      http::verb::get, "/.pollenway/lookup?service=" + aService, 11);
+    request.set(http::field::host, address.mAddress);
+    const TimePoint start = SteadyNow();
+    auto answer = co_await mPool.Exchange(
+      endpoint, std::move(request), kLookupTimeout, kMaxLookupAnswer);
+    const bool accepted = answer && answer.value().result_int() == 200 &&
+                          Accept(answer.value().body(), mEntries[aService]);
+    mStatistics.NoteLookup(accepted, SteadyNow() - start);
+    if (accepted) {
+      co_return;
+    }
+  }
+}
+
+bool InstanceCache::Accept(const std::string& aText, Entry& aEntry)
+{
+  const auto document = nlohmann::json::parse(aText, nullptr, false);
+  if (!document.is_object() || !document.contains("instances")) {
+    return false;
+  }
+  std::vector<Instance> instances;
+  for (const auto& it : document["instances"]) {
+    ErrorCode ec;
+    Instance instance;
+    instance.mEndpoint =
+      tcp::endpoint(asio::ip::make_address(it.value("address", ""), ec),
+                    it.value("port", uint16_t(0)));
+    instance.mWeight = it.value("weight", 1.0);
+    if (!ec && instance.mWeight > 0) {
+      instances.push_back(instance);
+    }
+  }
+  if (instances.empty()) {
+    return false;
+  }
+  aEntry.mInstances = std::move(instances);
+  aEntry.mExpiry = SteadyNow() + std::chrono::milliseconds(
+                                   document.value("ttl_ms", uint64_t(0)));
+  return true;
+}
+
+std::optional<tcp::endpoint> InstanceCache::Choose(const Entry& aEntry)
+{
+  const TimePoint now = SteadyNow();
+  for (const bool avoid : { true, false }) {
+    double sum = 0;
+    std::optional<tcp::endpoint> chosen;
+    for (const auto& it : aEntry.mInstances) {
+      const auto avoided = mAvoided.find(it.mEndpoint);
+      if (avoid && avoided != mAvoided.end() && avoided->second > now) {
+        continue;
+      }
+      sum += it.mWeight;
+      // Each instance is kept with its share of the weight seen so far.
+      if (mRandom.Uniform() * sum < it.mWeight) {
+        chosen = it.mEndpoint;
+      }
+    }
+    if (chosen) {
+      return chosen;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/apps/pollenway-load/Operation.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace pollenway {
+
+/// One kind of request that callers send.
+struct Operation
+{
+  std::string mName;
+  std::string mService;
+  std::string mMethod = "GET";
+  std::string mPath;
+  /// Length of the request body.
+  uint64_t mBodyBytes = 0;
+  /// Weight among the operations of a workspace.
+  double mShare = 1;
+  /// Whether the request carries an Idempotency-Key.
+  bool mHasKey = false;
+};
+
+} // namespace pollenway
--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -15,8 +15,16 @@
                                                       Duration aTimeout)
 {
   ErrorCode ec;
-  mStream.expires_after(aTimeout);
-  co_await mStream.async_connect(aEndpoint, Into(ec));
+  if (mLocalAddress) {
+    mStream.socket().open(aEndpoint.protocol(), ec);
+    if (!ec) {
+      mStream.socket().bind(tcp::endpoint(*mLocalAddress, 0), ec);
+    }
+  }
+  if (!ec) {
+    mStream.expires_after(aTimeout);
+    co_await mStream.async_connect(aEndpoint, Into(ec));
+  }
   if (ec) {
     mFailed = true;
     co_return Error{ ResultCode::PeerUnavailable,
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -16,6 +16,13 @@
 public:
   explicit HttpClientConnection(asio::any_io_executor aExecutor);
 
+  /// Connects from this local address instead of one that the system chooses.
+  /// Call before `Connect`, which reports an address that can't be bound.
+  void BindTo(asio::ip::address aLocalAddress)
+  {
+    mLocalAddress = aLocalAddress;
+  }
+
   /// Connects. `PeerUnavailable` if it is refused or takes too long.
   Awaitable<Result<void>> Connect(tcp::endpoint aEndpoint, Duration aTimeout);
 
@@ -52,6 +59,7 @@
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  std::optional<asio::ip::address> mLocalAddress;
   std::optional<Parser> mParser;
   uint64_t mBytesSent = 0;
   bool mChunked = false;
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -23,6 +23,9 @@
     }
   }
   auto connection = std::make_unique<HttpClientConnection>(mExecutor);
+  if (mOptions.mLocalAddress) {
+    connection->BindTo(*mOptions.mLocalAddress);
+  }
   auto connected =
     co_await connection->Connect(aEndpoint, mOptions.mConnectTimeout);
   if (!connected) {
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -14,6 +14,8 @@
   /// Idle connections are closed after this time.
   Duration mMaxIdle = std::chrono::seconds(20);
   size_t mMaxIdlePerEndpoint = 32;
+  /// Connections are made from this address if it is set.
+  std::optional<asio::ip::address> mLocalAddress = std::nullopt;
 };
 
 /// Keeps idle connections to each endpoint. A connection is handed back only
