--- a/src/EntrySettings.h
+++ b/src/EntrySettings.h
@@ -41,7 +41,7 @@
   std::vector<IpEndpoint> mSeeds;
   /// Seed of the random numbers; unset: drawn at start.
   std::optional<uint64_t> mRandomSeed;
-  CutOffKeyPolicy mCutOffKeyPolicy = CutOffKeyPolicy::Serve;
+  CutOffKeyPolicy::Mode mCutOffKeyPolicy = CutOffKeyPolicy::Mode::Serve;
   /// Peers whose `client=` parameter of a look-up is honoured.
   std::vector<NetworkPrefix> mTrustedResolvers;
   /// Longest time that a graceful shutdown waits for requests in flight.
--- a/src/EntrySettingsReader.cpp
+++ b/src/EntrySettingsReader.cpp
@@ -19,9 +19,9 @@
 // headers and keys.
 constexpr uint64_t kHighestBufferedAnswerBytes = 512 * 1024;
 
-constexpr EnumText<CutOffKeyPolicy> kCutOffKeyPolicyTexts[] = {
-  { "serve", CutOffKeyPolicy::Serve },
-  { "refuse", CutOffKeyPolicy::Refuse },
+constexpr EnumText<CutOffKeyPolicy::Mode> kCutOffKeyPolicyTexts[] = {
+  { "serve", CutOffKeyPolicy::Mode::Serve },
+  { "refuse", CutOffKeyPolicy::Mode::Refuse },
 };
 
 constexpr EnumText<LogLevel> kLogLevelTexts[] = {
--- a/test/error/EntrySettingsReader.cpp
+++ b/test/error/EntrySettingsReader.cpp
@@ -85,7 +85,7 @@
   expected.mAdminPort = 4;
   expected.mAdminAddress = "::1";
   expected.mRandomSeed = 18446744073709551615u;
-  expected.mCutOffKeyPolicy = CutOffKeyPolicy::Refuse;
+  expected.mCutOffKeyPolicy = CutOffKeyPolicy::Mode::Refuse;
   expected.mDrainTimeout = std::chrono::seconds(2);
   expected.mRecordRetention = std::chrono::seconds(3);
   expected.mMaxBufferedAnswerBytes = 0;
