Add the store client

Cause: instances and commands keep views, shares and the configuration in the platform's store, whose answers may be lost after a write took effect. Change: add the ObjectStore interface, StoreClient over HTTP, Backoff, and PutConfirmed, which resolves lost answers by repeating the conditional write and reading back. Conclusion: outcomes done, conflict, not found, not done and unknown are told apart; tests run against the stand-in over loopback.

--- /dev/null
+++ b/src/Backoff.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Random.h"
+#include "Time.h"
+
+#include <algorithm>
+
+namespace pollenway {
+
+/// Pauses between attempts that grow exponentially up to a limit. Jitter keeps
+/// many processes that failed together from trying again together.
+class Backoff
+{
+public:
+  struct Options
+  {
+    Duration mFirst = std::chrono::milliseconds(100);
+    Duration mLongest = std::chrono::seconds(10);
+  };
+
+  Backoff(Options aOptions, uint64_t aSeed)
+    : mOptions(aOptions)
+    , mRandom(aSeed)
+    , mNext(aOptions.mFirst)
+  {
+  }
+
+  /// The pause after one more failure: between half and all of the current
+  /// step, which doubles with each call.
+  Duration Next()
+  {
+    const Duration step = std::min(mNext, mOptions.mLongest);
+    mNext = std::min(step * 2, mOptions.mLongest);
+    return FromSeconds(ToSeconds(step) * (0.5 + 0.5 * mRandom.Uniform()));
+  }
+
+  /// Starts again with the first step; call after a success.
+  void Reset() { mNext = mOptions.mFirst; }
+
+private:
+  Options mOptions;
+  Random mRandom;
+  Duration mNext;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/ListedInstance.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace pollenway {
+
+/// Entry of the platform's list of instances, which lags behind.
+struct ListedInstance
+{
+  std::string mName;
+  /// "live", "leaving" or "terminated".
+  std::string mState;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/ObjectStore.cpp
@@ -0,0 +1,66 @@
+#include "ObjectStore.h"
+
+#include "Assert.h"
+#include "SteadyTime.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace pollenway {
+
+namespace {
+
+/// Bounds the rate of reads while they are outdated.
+constexpr auto kShortestPause = std::chrono::milliseconds(5);
+
+/// After a conflict, the object can't have the version that was expected, nor
+/// a lower one: such a read shows the time before the conflict.
+bool IsOutdated(const StoredObject& aObject, const StoreCondition& aCondition)
+{
+  return aCondition.mVersion && aObject.mVersion <= *aCondition.mVersion;
+}
+
+} // namespace
+
+Awaitable<StoreWrite> ObjectStore::PutConfirmed(std::string aKind,
+                                                std::string aName,
+                                                std::string aValue,
+                                                StoreCondition aCondition,
+                                                Duration aPatience)
+{
+  POLLENWAY_ASSERT(aCondition.mAbsent || aCondition.mVersion,
+                   "a confirmed write needs a condition");
+  const auto executor = co_await asio::this_coro::executor;
+  const TimePoint end = SteadyNow() + aPatience;
+  bool lostAnswer = false;
+  for (;;) {
+    StoreWrite write = co_await Put(aKind, aName, aValue, aCondition);
+    lostAnswer = lostAnswer || write.mOutcome == WriteOutcome::Unknown;
+    if (write.mOutcome == WriteOutcome::Conflict && lostAnswer) {
+      auto found = co_await Get(aKind, aName);
+      write.mOutcome = WriteOutcome::Unknown;
+      if (found && !IsOutdated(found.value(), aCondition)) {
+        if (found.value().mValue == aValue) {
+          write.mOutcome = WriteOutcome::Done;
+          write.mVersion = found.value().mVersion;
+        }
+        co_return write;
+      }
+    }
+    const bool retry = write.mOutcome == WriteOutcome::Unknown ||
+                       (write.mOutcome == WriteOutcome::NotDone &&
+                        write.mError.mCode == ResultCode::StoreUnavailable);
+    const Duration pause = std::max<Duration>(RetryPause(), kShortestPause);
+    if (!retry || SteadyNow() + pause >= end) {
+      if (lostAnswer && write.mOutcome == WriteOutcome::NotDone) {
+        write.mOutcome = WriteOutcome::Unknown;
+      }
+      co_return write;
+    }
+    ErrorCode ec;
+    asio::steady_timer timer(executor, pause);
+    co_await timer.async_wait(Into(ec));
+  }
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/StoreListing.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "StoredObject.h"
+
+#include <vector>
+
+namespace pollenway {
+
+/// All objects of one kind.
+struct StoreListing
+{
+  /// Where a watch continues without a gap.
+  uint64_t mRevision = 0;
+  std::vector<StoredObject> mObjects;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/test/error/StoreClient.cpp
@@ -0,0 +1,129 @@
+#include "StoreClient.h"
+
+#include "../PlatformFixture.h"
+
+using namespace pollenway;
+
+namespace {
+
+PlatformServer::Faults LostAnswers(double aProbability)
+{
+  PlatformServer::Faults faults;
+  faults.mLoseAnswers = aProbability;
+  return faults;
+}
+
+} // namespace
+
+// Guards against a write whose answer was lost being taken for one that had no
+// effect.
+TEST_CASE("a lost answer is unknown, a refused connection is not done")
+{
+  PlatformFixture fixture;
+  auto& store = *fixture.mClient;
+  fixture.Run([&]() -> Awaitable<void> {
+    fixture.mServer.SetFaults(LostAnswers(1));
+    auto write = co_await store.Put("k", "n", "one", StoreCondition::Absent());
+    CHECK(write.mOutcome == WriteOutcome::Unknown);
+    CHECK(write.mError.mCode == ResultCode::StoreUnavailable);
+    CHECK(store.RetryPause() > Duration::zero());
+    auto got = co_await store.Get("k", "n");
+    REQUIRE(got);
+    CHECK(got.value().mValue == "one");
+    CHECK(store.RetryPause() == Duration::zero());
+
+    PlatformServer::Faults outage;
+    outage.mOutage = true;
+    fixture.mServer.SetFaults(outage);
+    got = co_await store.Get("k", "n");
+    REQUIRE(!got);
+    CHECK(got.error().mCode == ResultCode::StoreUnavailable);
+
+    fixture.mServer.Stop();
+    write = co_await store.Put("k", "n", "two", StoreCondition::AtVersion(1));
+    CHECK(write.mOutcome == WriteOutcome::NotDone);
+    CHECK(write.mError.mCode == ResultCode::StoreUnavailable);
+    CHECK(store.Calls().mFailures == 3);
+  });
+}
+
+// Guards against an own write being reported as a conflict after its answer
+// was lost, and against a conflict with another writer being taken for it.
+TEST_CASE("a confirmed write resolves lost answers")
+{
+  PlatformFixture fixture;
+  auto& store = *fixture.mClient;
+  fixture.Run([&]() -> Awaitable<void> {
+    const auto patience = std::chrono::seconds(20);
+    // The first answer is lost, the repeat's conflict is lost too, and so on;
+    // with this seed some answer of each write gets through.
+    fixture.mServer.SetFaults(LostAnswers(0.5));
+    uint64_t version = 0;
+    for (int i = 0; i < 50; ++i) {
+      const auto condition =
+        version ? StoreCondition::AtVersion(version) : StoreCondition::Absent();
+      const std::string value = "value " + std::to_string(i);
+      const auto write =
+        co_await store.PutConfirmed("k", "n", value, condition, patience);
+      REQUIRE(write.IsDone());
+      CHECK(write.mVersion == version + 1);
+      version = write.mVersion;
+    }
+    fixture.mServer.SetFaults(LostAnswers(0));
+    const auto conflict = co_await store.PutConfirmed(
+      "k", "n", "other", StoreCondition::AtVersion(3), patience);
+    CHECK(conflict.mOutcome == WriteOutcome::Conflict);
+    auto got = co_await store.Get("k", "n");
+    REQUIRE(got);
+    CHECK(got.value().mValue == "value 49");
+    CHECK(fixture.mServer.Table().Revision() == 50);
+  });
+}
+
+// Guards against lost or doubled updates by two writers while answers are
+// lost: the counter is the number of writes that took effect.
+TEST_CASE("concurrent confirmed writers lose no update")
+{
+  PlatformFixture fixture;
+  StoreClient other(fixture.mIo.get_executor(), fixture.ClientOptions());
+  unsigned done = 0;
+  unsigned unknown = 0;
+  const auto increment = [&](StoreClient& aStore,
+                             std::string aMark) -> Awaitable<void> {
+    for (int i = 0; i < 40; ++i) {
+      auto got = co_await aStore.Get("k", "n");
+      const bool found = got.has_value();
+      const int count = found ? std::stoi(got.value().mValue) : 0;
+      const auto condition = found
+                               ? StoreCondition::AtVersion(got.value().mVersion)
+                               : StoreCondition::Absent();
+      // The mark makes the values of the two writers differ.
+      const std::string value = std::to_string(count + 1) + aMark;
+      const auto write = co_await aStore.PutConfirmed(
+        "k", "n", value, condition, std::chrono::seconds(20));
+      done += write.IsDone() ? 1 : 0;
+      unknown += write.mOutcome == WriteOutcome::Unknown ? 1 : 0;
+    }
+  };
+  bool otherDone = false;
+  fixture.mServer.SetFaults(LostAnswers(0.3));
+  asio::co_spawn(
+    fixture.mIo,
+    [&]() -> Awaitable<void> {
+      co_await increment(other, " other");
+      otherDone = true;
+    },
+    asio::detached);
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await increment(*fixture.mClient, " first");
+    while (!otherDone) {
+      co_await asio::post(asio::use_awaitable);
+    }
+  });
+  const auto* const object = fixture.mServer.Table().Get("k", "n");
+  REQUIRE(object);
+  const unsigned count = unsigned(std::stoi(*object->mValue));
+  CHECK(done > 0);
+  CHECK(count >= done);
+  CHECK(count <= done + unknown);
+}
