Give other owners only what is spare; count the wait of local requests

Tokens granted to a local request that had waited 10 ms were dropped as late, and owners under overload passed tokens round.

--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -98,6 +98,7 @@
     }
     AccountHolder::Options options = aSetup.mHolder;
     if (aSetup.mPolicy == Policy::Exchange) {
+      options.mBalancer.mMinRate = 0;
       options.mBalancer.mMinBurstPerZone = 0;
       options.mBalancer.mMoveInterval = std::chrono::hours(100000);
     }
@@ -451,25 +452,21 @@
     still.mFirstZonePart = 1;
     Print(still);
     if (FLAGS_options) {
-      Setup small = steered;
-      small.mHolder.mBalancer.mMinRate = 100;
-      small.mName =
-        "option: rate * 0.1 s < 10 rests with one zone, even, owner";
-      Print(small);
-      small.mFirstZonePart = 1;
-      small.mName = "option: rate * 0.1 s < 10 rests with one zone, one, owner";
-      Print(small);
-      for (const uint32_t reserve : { 0u, 50'000u, 100'000u }) {
-        Setup reserved = steered;
-        reserved.mHolder.mBalancer.mMinBurstPerZone = 0;
-        reserved.mHolder.mBalancer.mReserve = reserve;
-        reserved.mName = "option: always divided, reserve " +
-                         std::to_string(reserve / 10000) + " %, even, owner";
-        Print(reserved);
-        reserved.mFirstZonePart = 1;
-        reserved.mName = "option: always divided, reserve " +
-                         std::to_string(reserve / 10000) + " %, one, owner";
-        Print(reserved);
+      for (const uint32_t reserve : { 0u, 20'000u, 50'000u }) {
+        for (const bool divided : { false, true }) {
+          Setup option = steered;
+          auto& balancer = option.mHolder.mBalancer;
+          balancer.mReserve = balancer.mRestReserve = reserve;
+          balancer.mMinRate = balancer.mMinBurstPerZone = divided ? 0 : 1e9;
+          const std::string name =
+            std::string("option: ") + (divided ? "divided" : "one zone") +
+            ", reserve " + std::to_string(reserve / 10000) + " %, ";
+          option.mName = name + "even, owner in own zone";
+          Print(option);
+          option.mFirstZonePart = 1;
+          option.mName = name + "one zone, owner in own zone";
+          Print(option);
+        }
       }
     }
   }
--- a/src/AccountClient.cpp
+++ b/src/AccountClient.cpp
@@ -70,8 +70,7 @@
   const TimePoint until = open.mSent + aReply.mHeld + open.mValidity;
   if (aReply.mGranted >= 1 && aNow < until) {
     if (aReply.mGranted >= 2) {
-      mBatches[aReply.mId] = { .mCount = uint64_t(aReply.mGranted) - 1,
-                               .mUntil = until };
+      mBatches[aReply.mId] = { .mCount = aReply.mGranted - 1, .mUntil = until };
     }
     return { .mVerdict = Verdict::Granted };
   }
--- a/src/AccountClient.h
+++ b/src/AccountClient.h
@@ -20,7 +20,7 @@
 public:
   struct Options
   {
-    Duration mSingleValidity = std::chrono::milliseconds(25);
+    Duration mSingleValidity = std::chrono::milliseconds(10);
     Duration mBatchValidity = std::chrono::milliseconds(100);
     /// Part of the expected demand during a batch's validity that is asked
     /// for. Unused tokens of a batch are lost.
@@ -74,7 +74,7 @@
   };
   struct Batch
   {
-    uint64_t mCount = 0;
+    uint32_t mCount = 0;
     TimePoint mUntil;
   };
 
--- a/src/AccountHolder.cpp
+++ b/src/AccountHolder.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-// Smaller parts of a token are not worth a message.
-constexpr double kMinPart = 0.05;
 constexpr double kRounding = 1e-9;
 // Retry-After where nothing is known of when tokens will be there.
 constexpr Duration kUnknownRetry = std::chrono::seconds(1);
@@ -238,13 +236,13 @@
   if (aNow < until) {
     // Whole tokens go straight to waiting requests, within the giver's
     // validity: a zone whose depth is below 1 can't keep them.
-    double left = aReply.mGranted;
-    while (left + kRounding >= 1 && !mWaiting.empty()) {
+    uint32_t left = aReply.mGranted;
+    while (left > 0 && !mWaiting.empty()) {
       PassOn(mWaiting.front(), until, aNow, actions);
       mWaiting.erase(mWaiting.begin());
-      left -= 1;
+      --left;
     }
-    mBucket.Put(std::max(0.0, left), aNow);
+    mBucket.Put(left, aNow);
     ServeWaiting(aNow, actions);
   }
   ContinueWaiting(ask.mWaiting, aNow, actions);
@@ -380,78 +378,63 @@
   return !mBalancer.RestsWithOneZone(mRate, mBurst, mPeers.size() + 1);
 }
 
+double AccountHolder::DepthOf(const ZoneName& aZone) const
+{
+  const auto& committed = mBalancer.Committed();
+  return committed ? mBurst * double(committed->Fraction(aZone)) /
+                       double(Allotment::kWhole)
+                   : 0;
+}
+
 double AccountHolder::EstimatedTokens(const ZoneName& aZone,
                                       const PeerZone& aPeer,
                                       TimePoint aNow) const
 {
-  const auto& committed = mBalancer.Committed();
-  if (!committed) {
-    return 0;
-  }
-  const double part =
-    double(committed->Fraction(aZone)) / double(Allotment::kWhole);
-  if (aPeer.mReported == TimePoint{}) {
-    return mBurst * part;
+  const double depth = DepthOf(aZone);
+  if (aPeer.mReported == TimePoint{} || depth <= 0) {
+    return depth;
   }
   const double age = ToSeconds(aNow + aPeer.mLatency - aPeer.mReported);
-  return std::min(mBurst * part, aPeer.mReportedTokens + mRate * part * age);
+  return std::min(depth, aPeer.mReportedTokens + mRate * depth / mBurst * age);
 }
 
 const ZoneName* AccountHolder::NextCandidate(const Waiting& aWaiting,
-                                             TimePoint aNow)
+                                             TimePoint aNow) const
 {
-  const bool partial = mBucket.Depth() >= 2;
-  const double wanted = partial ? kMinPart : 1 - 1e-6;
-  double sum = mBucket.Tokens(aNow);
+  const double kept = IsDividable() ? mOptions.mKeptPart : 0;
   const ZoneName* best = nullptr;
   double bestTokens = 0;
   Duration bestLatency{};
   for (const auto& [zone, peer] : mPeers) {
-    const double tokens = EstimatedTokens(zone, peer, aNow);
+    const double tokens =
+      EstimatedTokens(zone, peer, aNow) - kept * DepthOf(zone);
     if (aWaiting.mAsked.count(zone) || aNow < peer.mSilentUntil ||
-        tokens < wanted) {
+        tokens + 1e-6 < 1) {
       continue;
     }
-    sum += tokens;
-    // Zones that likely have a whole token come first, nearest first; among
-    // others and equally near ones the one with most tokens.
-    const bool whole = tokens >= 1;
-    const bool bestWhole = bestTokens >= 1;
-    const bool better = whole != bestWhole ? whole
-                        : whole && peer.mLatency != bestLatency
-                          ? peer.mLatency < bestLatency
-                          : tokens > bestTokens;
-    if (!best || better) {
+    if (!best || peer.mLatency < bestLatency ||
+        (peer.mLatency == bestLatency && tokens > bestTokens)) {
       best = &zone;
       bestTokens = tokens;
       bestLatency = peer.mLatency;
     }
   }
-  return sum + 1e-6 >= 1 ? best : nullptr;
+  return best;
 }
 
 Duration AccountHolder::RetryAfter(TimePoint aNow)
 {
   Duration best = mBucket.TimeUntil(1, aNow);
-  const auto& committed = mBalancer.Committed();
-  double sum = mBucket.Tokens(aNow);
-  double rate = mBucket.Rate();
+  const double kept = IsDividable() ? mOptions.mKeptPart : 0;
   for (const auto& [zone, peer] : mPeers) {
-    if (!committed || aNow < peer.mSilentUntil) {
+    const double depth = DepthOf(zone);
+    const double wanted = 1 + kept * depth;
+    if (aNow < peer.mSilentUntil || mBurst <= 0 || depth < wanted) {
       continue;
     }
-    const double part =
-      double(committed->Fraction(zone)) / double(Allotment::kWhole);
-    const double tokens = EstimatedTokens(zone, peer, aNow);
-    sum += tokens;
-    rate += mRate * part;
-    if (mBurst * part >= 1 && mRate * part > 0) {
-      const double wait = std::max(0.0, (1 - tokens) / (mRate * part));
-      best = std::min(best, FromSeconds(wait));
-    }
-  }
-  if (mBucket.Depth() >= 2) {
-    best = std::min(best, FromSeconds(std::max(0.0, (1 - sum) / rate)));
+    const double rate = mRate * depth / mBurst;
+    const double lack = wanted - EstimatedTokens(zone, peer, aNow);
+    best = std::min(best, FromSeconds(std::max(0.0, lack) / rate));
   }
   return best == Duration::max() ? kUnknownRetry : best;
 }
@@ -469,12 +452,13 @@
     mBucket.Take(1, aNow);
     AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
     reply.mGranted = 1;
+    reply.mHeld = aNow - aWaiting.mReceived;
     aActions.mReplies.push_back({ request.mFrom, false, reply });
     return true;
   }
-  const auto extra =
-    double(uint64_t(std::max(0.0, (tokens - 1) * mOptions.mBatchExtraPart)));
-  const double count = 1 + std::min(extra, double(request.mCount) - 1);
+  const double extra = std::min(double(request.mCount) - 1,
+                                (tokens - 1) * mOptions.mBatchExtraPart);
+  const uint32_t count = 1 + uint32_t(std::max(0.0, extra));
   const Duration validity = std::min(request.mValidity, kMaxGrantValidity);
   // Deducted and held before the answer exists: a lost answer loses tokens.
   if (!mBucket.TakeHeld(count,
@@ -496,13 +480,14 @@
                                  TimePoint aNow,
                                  Actions& aActions)
 {
-  const double tokens = mBucket.Tokens(aNow);
-  double count = 0;
+  const double kept =
+    aRequest.mHasShare ? mOptions.mKeptPart * mBucket.Depth() : 0;
+  const double tokens = mBucket.Tokens(aNow) - kept;
+  uint32_t count = 0;
   if (tokens + kRounding >= 1) {
-    count = 1 + std::min(double(aRequest.mCount) - 1,
-                         std::max(0.0, tokens - 1) * mOptions.mOwnerExtraPart);
-  } else if (aRequest.mPartial && tokens >= kMinPart) {
-    count = tokens;
+    const double extra = std::min(double(aRequest.mCount) - 1,
+                                  (tokens - 1) * mOptions.mOwnerExtraPart);
+    count = 1 + uint32_t(std::max(0.0, extra));
   }
   const Duration validity = std::min(aRequest.mValidity, kMaxGrantValidity);
   const bool granted = count > 0 && mBucket.TakeHeld(count,
@@ -565,8 +550,8 @@
   AdmitRequest request{
     .mFrom = mSelf, .mZone = mZone, .mFromOwner = true, .mDemand = Demand(aNow)
   };
-  if (depth >= 2) {
-    request.mPartial = true;
+  if (IsDividable()) {
+    request.mHasShare = true;
     request.mCount =
       std::max(1u, uint32_t(depth * mOptions.mExchangePart + 0.5));
   }
--- a/src/AccountHolder.h
+++ b/src/AccountHolder.h
@@ -44,6 +44,10 @@
     Duration mExchangeSlack = std::chrono::milliseconds(40);
     /// Part of the depth that is asked for when a bucket is empty.
     double mExchangePart = 0.5;
+    /// Part of the depth that is not given to an owner with its own share.
+    /// Without it, owners under overload pass the same tokens round, and each
+    /// exchange counts them twice while its validity lasts.
+    double mKeptPart = 0.25;
     /// Part of the tokens beyond the first that goes to one request.
     double mOwnerExtraPart = 0.5;
     double mBatchExtraPart = 0.25;
@@ -189,11 +193,12 @@
   void Start(TokenBucket aBucket, TimePoint aNow);
   void Apply(TimePoint aNow);
   bool IsDividable() const;
+  double DepthOf(const ZoneName& aZone) const;
   double EstimatedTokens(const ZoneName& aZone,
                          const PeerZone& aPeer,
                          TimePoint aNow) const;
   /// The next zone to ask for this request; null if none may help.
-  const ZoneName* NextCandidate(const Waiting& aWaiting, TimePoint aNow);
+  const ZoneName* NextCandidate(const Waiting& aWaiting, TimePoint aNow) const;
   Duration RetryAfter(TimePoint aNow);
   /// False if there is not a whole token.
   bool TryGrant(const Waiting& aWaiting, TimePoint aNow, Actions& aActions);
--- a/src/AdmitMessage.h
+++ b/src/AdmitMessage.h
@@ -21,8 +21,9 @@
   bool mFromOwner = false;
   /// Tokens wanted. One is needed; the others are given if there are plenty.
   uint32_t mCount = 1;
-  /// A part of a token is welcome (the sender collects parts from zones).
-  bool mPartial = false;
+  /// The sender has a share of its own, so it gets only what the owner can
+  /// spare.
+  bool mHasShare = false;
   /// Time after the answer was decided during which tokens may be used.
   Duration mValidity{};
   /// The sender will use no more token of its requests up to this one.
@@ -42,8 +43,8 @@
   ZoneName mZone{};
   /// Ok, RateExceeded or LimitOwnerUnavailable.
   ResultCode mCode = ResultCode::RateExceeded;
-  /// Tokens granted; a whole number unless parts were welcome.
-  double mGranted = 0;
+  /// Tokens granted.
+  uint32_t mGranted = 0;
   /// Time between receiving the request and deciding the answer. The sender
   /// may use the tokens until sent + held + validity on its own clock, which
   /// is never later than the owner's decided + validity.
--- a/src/ShareBalancer.cpp
+++ b/src/ShareBalancer.cpp
@@ -149,7 +149,8 @@
   if (it == aDemand.end() || !it->second.mFresh) {
     return {};
   }
-  return { *to, mCommitted->Fraction(mZone) };
+  const uint32_t own = mCommitted->Fraction(mZone);
+  return { *to, own - std::min(own, mOptions.mRestReserve) };
 }
 
 ShareBalancer::Move ShareBalancer::ChooseShare(
--- a/src/ShareBalancer.h
+++ b/src/ShareBalancer.h
@@ -54,22 +54,26 @@
 public:
   struct Options
   {
-    /// A workspace rests with one zone if its burst is below this number of
-    /// tokens for each zone. With less, single tokens rather than demand
-    /// decide who is refused (docs/notes/fleet-limits.md).
+    /// A workspace rests with one zone if its rate is below this (1/s), that
+    /// is if it has fewer than 10 tokens each 100 ms. Divided, it wrongly
+    /// refuses several percent (docs/notes/fleet-limits.md).
+    double mMinRate = 100;
+    /// It also rests with one zone if its burst is below this number of tokens
+    /// for each zone.
     double mMinBurstPerZone = 2;
-    /// It also rests with one zone if its rate is below this (1/s).
-    double mMinRate = 0;
     /// Part of the whole that each zone keeps whatever its demand
-    /// (millionths), for workspaces that don't rest with one zone.
-    uint32_t mReserve = 20'000;
+    /// (millionths): of divided workspaces, and of those that rest with one
+    /// zone. A reserve serves a zone that had no demand before it was cut off;
+    /// it takes tokens from where the demand is (docs/notes/fleet-limits.md).
+    uint32_t mReserve = 0;
+    uint32_t mRestReserve = 0;
     /// The zone gives only what exceeds its target by this part of it, and
     /// by mMinMove.
     double mHysteresis = 0.25;
     uint32_t mMinMove = 20'000;
     /// A resting workspace moves when another zone's demand is this many
     /// times that of the zone it rests with.
-    double mRestHysteresis = 2;
+    double mRestHysteresis = 2.5;
     /// Time between two moves, and between a failed write and the next try.
     Duration mMoveInterval = std::chrono::seconds(5);
     Duration mRetryInterval = std::chrono::seconds(1);
