Connect membership, leases, configuration and keys to the shell

Cause: instances polled the store and knew each other from registrations. Change: MembershipService carries out the core's actions over the peer transport and the store client; one watch for each zone; admit messages carry the limits' requests; a member states its relay port.

--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -336,8 +336,8 @@
         mObject = write->mValue;
       }
       holder.OnWriteResult(write->mSerial,
-                           ok ? WriteOutcome::Committed
-                              : WriteOutcome::Conflict,
+                           ok ? MoveOutcome::Committed
+                              : MoveOutcome::Conflict,
                            mNow);
     }
     if (mObject) {
--- a/src/AccountHolder.cpp
+++ b/src/AccountHolder.cpp
@@ -342,7 +342,7 @@
 }
 
 void AccountHolder::OnWriteResult(uint64_t aSerial,
-                                  WriteOutcome aOutcome,
+                                  MoveOutcome aOutcome,
                                   TimePoint aNow)
 {
   mBalancer.OnWriteResult(aSerial, aOutcome, aNow);
--- a/src/AccountHolder.h
+++ b/src/AccountHolder.h
@@ -140,7 +140,7 @@
                    TimePoint aNow);
   void OnCommitted(const Allotment& aCommitted, TimePoint aNow);
   std::optional<AllotmentWrite> NextWrite(TimePoint aNow, bool aLeaseValid);
-  void OnWriteResult(uint64_t aSerial, WriteOutcome aOutcome, TimePoint aNow);
+  void OnWriteResult(uint64_t aSerial, MoveOutcome aOutcome, TimePoint aNow);
 
   bool IsActive() const { return mState == State::Active; }
   double Tokens(TimePoint aNow) { return mBucket.Tokens(aNow); }
--- a/src/AdmitMessage.h
+++ b/src/AdmitMessage.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace pollenway {
 
@@ -33,6 +34,20 @@
   uint64_t mDecidedBefore = 0;
   /// Requests per second of the sender's zone if it is an owner.
   double mDemand = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mId,
+                    aSelf.mFrom,
+                    aSelf.mZone,
+                    aSelf.mFromOwner,
+                    aSelf.mCount,
+                    aSelf.mHasShare,
+                    aSelf.mValidity,
+                    aSelf.mSettled,
+                    aSelf.mDecidedBefore,
+                    aSelf.mDemand);
+  }
 };
 
 /// The body of the peer message `AdmitReply`.
@@ -58,6 +73,20 @@
   /// for; empty for none.
   ZoneName mAskInstead{};
   Duration mAskInsteadValidity{};
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mId,
+                    aSelf.mZone,
+                    aSelf.mCode,
+                    aSelf.mGranted,
+                    aSelf.mHeld,
+                    aSelf.mTokens,
+                    aSelf.mDemand,
+                    aSelf.mRetryAfter,
+                    aSelf.mAskInstead,
+                    aSelf.mAskInsteadValidity);
+  }
 };
 
 /// Allowance for different clock rates: a giver counts granted tokens for
--- /dev/null
+++ b/src/MembershipService.cpp
@@ -0,0 +1,449 @@
+#include "MembershipService.h"
+
+#include "InventoryReader.h"
+#include "Logger.h"
+#include "Spawn.h"
+#include "SteadyTime.h"
+
+#include <charconv>
+
+namespace pollenway {
+
+namespace {
+
+constexpr auto kTickInterval = std::chrono::milliseconds(100);
+/// One watch for each zone waits this long, so that a fleet at rest makes few
+/// store calls.
+constexpr auto kWatchTimeout = std::chrono::seconds(60);
+constexpr auto kWatcherCheck = std::chrono::seconds(1);
+constexpr auto kPlatformListInterval = std::chrono::seconds(30);
+constexpr auto kLeastRetryPause = std::chrono::milliseconds(200);
+
+constexpr char kViewKind[] = "zoneview";
+constexpr char kConfigurationKind[] = "configuration";
+
+MembershipTable::Options TableOptions(const FleetState& aFleet, uint64_t aSeed)
+{
+  MembershipTable::Options options;
+  const auto& self = aFleet.mSelf;
+  options.mZone.mZone = self.mZone;
+  options.mZone.mSelf.mName = self.mName;
+  options.mZone.mSelf.mIncarnation = self.mIncarnation;
+  options.mZone.mSelf.mAddress = self.mAddress;
+  options.mZone.mSelf.mEntryPort = self.mCallerPort;
+  options.mZone.mSelf.mPeerPort = self.mPeerPort;
+  options.mZone.mSelf.mRelayPort = self.mRelayPort;
+  options.mZone.mSeed = aSeed;
+  return options;
+}
+
+std::vector<InstanceInfo> MembersOf(const ZoneView& aView)
+{
+  std::vector<InstanceInfo> out;
+  for (const auto& it : aView.mMembers) {
+    InstanceInfo info;
+    info.mName = it.mName;
+    info.mIncarnation = it.mIncarnation;
+    info.mZone = aView.mZone;
+    info.mAddress = it.mAddress;
+    info.mCallerPort = it.mEntryPort;
+    info.mPeerPort = it.mPeerPort;
+    info.mRelayPort = it.mRelayPort;
+    out.push_back(std::move(info));
+  }
+  return out;
+}
+
+} // namespace
+
+MembershipService::MembershipService(asio::any_io_executor aExecutor,
+                                     FleetState& aFleet,
+                                     StoreClient& aStore,
+                                     PeerTransport& aTransport,
+                                     Callbacks aCallbacks)
+  : mExecutor(aExecutor)
+  , mFleet(aFleet)
+  , mStore(aStore)
+  , mTransport(aTransport)
+  , mCallbacks(std::move(aCallbacks))
+  , mCutOff(aFleet.mSettings.mCutOffKeyPolicy)
+  , mTable(TableOptions(aFleet, aFleet.mRandom.Next()),
+           { mConfiguration, mWithdrawals, mCutOff },
+           SteadyNow())
+  , mTickTimer(aExecutor)
+{
+  size_t n = 0;
+  for (const auto& it : aFleet.mSettings.mSeeds) {
+    ZoneMember seed;
+    seed.mName = InstanceName("seed-" + std::to_string(++n));
+    seed.mAddress = it.mAddress;
+    seed.mPeerPort = it.mPort;
+    const bool isSelf = it.mAddress == aFleet.mSelf.mAddress &&
+                        it.mPort == aFleet.mSelf.mPeerPort;
+    if (!isSelf) {
+      mTable.AddSeed(seed);
+    }
+  }
+}
+
+void MembershipService::Start()
+{
+  Spawn(mExecutor, TickLoop());
+  Spawn(mExecutor, WatchLoop());
+  Spawn(mExecutor, PlatformListLoop());
+}
+
+void MembershipService::Stop()
+{
+  mStopping = true;
+  mTickTimer.cancel();
+}
+
+void MembershipService::BeginLeave()
+{
+  Carry(mTable.BeginLeave(SteadyNow()));
+}
+
+bool MembershipService::IsEnded() const
+{
+  return mTable.Zone().GetState() == ZoneMembership::State::Ended;
+}
+
+void MembershipService::Handle(const PeerMessage& aMessage)
+{
+  Carry(mTable.Handle(SteadyNow(), aMessage));
+}
+
+Result<WorkspaceName> MembershipService::Authenticate(
+  std::string_view aKey) const
+{
+  BOOST_OUTCOME_TRYV(mCutOff.CheckKeyedRequest(SteadyNow(), mWithdrawals));
+  return mKeys.Authenticate(aKey, mWithdrawals);
+}
+
+void MembershipService::Withdraw(const KeyId& aKey)
+{
+  Log(LogLevel::Info, "key_withdrawn", { { "key", aKey.Text() } });
+  Carry(mTable.Withdraw(SteadyNow(), aKey));
+}
+
+bool MembershipService::MayUse() const
+{
+  return mTable.Zone().MayUse(SteadyNow());
+}
+
+bool MembershipService::IsSettled() const
+{
+  return mTable.Zone().IsSettled();
+}
+
+void MembershipService::SetLoads(std::vector<peer::LoadSummary> aLoads)
+{
+  mTable.SetLoads(std::move(aLoads));
+}
+
+void MembershipService::SetCompletedView(uint64_t aNumber)
+{
+  mTable.Zone().SetCompletedView(aNumber);
+}
+
+Awaitable<void> MembershipService::Pause(Duration aTime)
+{
+  asio::steady_timer timer(mExecutor, aTime);
+  ErrorCode ec;
+  co_await timer.async_wait(Into(ec));
+}
+
+Awaitable<void> MembershipService::TickLoop()
+{
+  while (!mStopping) {
+    Carry(mTable.Tick(SteadyNow()));
+    mTickTimer.expires_after(kTickInterval);
+    ErrorCode ec;
+    co_await mTickTimer.async_wait(Into(ec));
+  }
+}
+
+void MembershipService::Carry(MembershipActions aActions)
+{
+  for (auto& action : aActions) {
+    if (auto* send = std::get_if<act::SendPeer>(&action)) {
+      std::optional<IpEndpoint> endpoint;
+      if (!send->mAddress.empty()) {
+        endpoint = IpEndpoint{ send->mAddress, send->mPort };
+      }
+      mTransport.SendMessage(send->mTo, endpoint, send->mMessage);
+    } else if (auto* close = std::get_if<act::CloseLink>(&action)) {
+      const auto* info = mFleet.mDirectory.Find(close->mTo);
+      if (info) {
+        mTransport.CloseLink({ info->mAddress, info->mPeerPort });
+      }
+    } else if (std::holds_alternative<act::ReadView>(action)) {
+      Spawn(mExecutor, ReadView());
+    } else if (auto* write = std::get_if<act::WriteView>(&action)) {
+      Spawn(mExecutor,
+            WriteView(std::move(write->mText), std::move(write->mVersion)));
+    } else if (auto* adopted = std::get_if<act::ViewAdopted>(&action)) {
+      OnViewAdopted(adopted->mView);
+    } else if (std::holds_alternative<act::Ended>(action)) {
+      if (!mFleet.mLeaving) {
+        Rejoin();
+      }
+    } else if (auto* offer = std::get_if<act::ConfigurationOffered>(&action)) {
+      OfferConfiguration(offer->mGeneration, offer->mText);
+    } else if (auto* report = std::get_if<act::Report>(&action)) {
+      Log(LogLevel::Warn, "membership", { { "detail", report->mText } });
+    }
+  }
+  RefreshDirectory();
+}
+
+Awaitable<void> MembershipService::ReadView()
+{
+  auto object = co_await mStore.Get(kViewKind, mFleet.mSelf.mZone.Text());
+  const TimePoint now = SteadyNow();
+  if (object) {
+    Carry(mTable.OnStoreRead(now,
+                             Result<std::string>(object.value().mValue),
+                             std::to_string(object.value().mVersion)));
+  } else if (object.error().mCode == ResultCode::NotFound) {
+    Carry(mTable.OnStoreRead(now, Result<std::string>(std::string()), {}));
+  } else {
+    Carry(mTable.OnStoreRead(now, Result<std::string>(object.error()), {}));
+  }
+}
+
+Awaitable<void> MembershipService::WriteView(std::string aText,
+                                             std::string aVersion)
+{
+  StoreCondition condition = StoreCondition::Absent();
+  if (!aVersion.empty()) {
+    uint64_t version = 0;
+    std::from_chars(
+      aVersion.data(), aVersion.data() + aVersion.size(), version);
+    condition = StoreCondition::AtVersion(version);
+  }
+  const StoreWrite write = co_await mStore.Put(
+    kViewKind, mFleet.mSelf.mZone.Text(), std::move(aText), condition);
+  StoreWriteOutcome outcome = StoreWriteOutcome::Unknown;
+  if (write.IsDone()) {
+    outcome = StoreWriteOutcome::Written;
+  } else if (write.mOutcome == WriteOutcome::Conflict) {
+    outcome = StoreWriteOutcome::Conflict;
+  }
+  Carry(
+    mTable.OnStoreWrite(SteadyNow(), outcome, std::to_string(write.mVersion)));
+}
+
+void MembershipService::OnViewAdopted(const ZoneView& aView)
+{
+  std::string members;
+  for (const auto& it : aView.mMembers) {
+    members += members.empty() ? "" : ",";
+    members += it.mName.Text();
+  }
+  Log(LogLevel::Info,
+      "view_adopted",
+      { { "zone", aView.mZone.Text() },
+        { "number", aView.mNumber },
+        { "members", members } });
+}
+
+void MembershipService::RefreshDirectory()
+{
+  bool changed = false;
+  const auto refresh = [&](const ZoneView& aView) {
+    auto& directory = mFleet.mDirectory;
+    if (directory.ViewNumber(aView.mZone) != aView.mNumber) {
+      directory.SetZone(aView.mZone, aView.mNumber, MembersOf(aView));
+      changed = true;
+    }
+    for (const auto& it : aView.mMembers) {
+      const auto* known = directory.Find(it.mName);
+      const bool leaving = mTable.IsLeaving(it.mName);
+      if (known && leaving && !known->mLeaving) {
+        directory.SetLeaving(it.mName, it.mIncarnation);
+        changed = true;
+      }
+    }
+  };
+  const auto& own = mTable.Zone().View();
+  if (own.mNumber != 0) {
+    refresh(own);
+  }
+  for (const auto& [zone, view] : mTable.OtherZones()) {
+    refresh(view);
+  }
+  if (changed) {
+    mCallbacks.mOnDirectory();
+  }
+}
+
+void MembershipService::Rejoin()
+{
+  const Incarnation incarnation = mFleet.mRandom.Next();
+  Log(LogLevel::Warn, "rejoining", { { "incarnation", incarnation } });
+  mFleet.mSelf.mIncarnation = incarnation;
+  mTransport.SetIncarnation(incarnation);
+  mTable.Rejoin(SteadyNow(), incarnation);
+  mCallbacks.mOnDirectory();
+}
+
+void MembershipService::OfferConfiguration(uint64_t aGeneration,
+                                           const std::string& aText)
+{
+  if (aGeneration != 0 && aGeneration <= mConfiguration.Generation()) {
+    return;
+  }
+  auto read = InventoryReader::Read(aText);
+  if (!read) {
+    const Error& first = read.error().front();
+    Log(LogLevel::Error,
+        "configuration_refused",
+        { { "code", int(first.mCode) },
+          { "path", first.mPath },
+          { "detail", first.mDetail } });
+    return;
+  }
+  const uint64_t generation = read.value().mGeneration;
+  auto accepted = mConfiguration.Accept(generation, aText);
+  if (!accepted || !accepted.value()) {
+    if (!accepted && accepted.error().mCode == ResultCode::Conflict) {
+      Log(LogLevel::Error,
+          "configuration_conflict",
+          { { "generation", generation } });
+    }
+    return;
+  }
+  mFleet.mInventory =
+    std::make_shared<const Inventory>(std::move(read.value()));
+  mKeys = KeyTable(*mFleet.mInventory);
+  mWithdrawals.OnConfiguration(generation, mKeys.Ids());
+  Log(
+    LogLevel::Info, "configuration_applied", { { "generation", generation } });
+  mCallbacks.mOnInventory();
+}
+
+bool MembershipService::IsWatcher() const
+{
+  const auto& members = mTable.Zone().View().mMembers;
+  return members.empty() || members.front().mName == mFleet.mSelf.mName;
+}
+
+void MembershipService::OnStoreChange(const StoreChange& aChange)
+{
+  if (!aChange.mValue) {
+    return;
+  }
+  if (aChange.mKind == kConfigurationKind && aChange.mName == "current") {
+    OfferConfiguration(0, *aChange.mValue);
+  } else if (aChange.mKind == kViewKind) {
+    auto view = ZoneViewFromJson(*aChange.mValue);
+    if (view && view.value().mZone != mFleet.mSelf.mZone) {
+      Carry(mTable.OfferView(SteadyNow(), view.value()));
+    } else if (view && aChange.mName == mFleet.mSelf.mZone.Text()) {
+      Carry(mTable.OnStoreRead(SteadyNow(),
+                               Result<std::string>(*aChange.mValue),
+                               std::to_string(aChange.mVersion)));
+    }
+  } else {
+    mCallbacks.mOnObject(aChange);
+  }
+}
+
+Awaitable<bool> MembershipService::ListAll()
+{
+  static constexpr const char* kKinds[] = { kConfigurationKind, kViewKind };
+  for (const auto* kind : kKinds) {
+    auto listed = co_await mStore.List(kind);
+    if (!listed) {
+      co_return false;
+    }
+    for (const auto& it : listed.value().mObjects) {
+      OnStoreChange({ kind, it.mName, it.mVersion, it.mValue });
+    }
+  }
+  mWithdrawals.MarkSynchronised();
+  mCutOff.NoteContact(SteadyNow());
+  co_return true;
+}
+
+Awaitable<void> MembershipService::WatchLoop()
+{
+  std::optional<uint64_t> revision;
+  bool listed = false;
+  while (!mStopping) {
+    if (!listed) {
+      // The revision is taken before the objects are read, so that a write
+      // between the two is seen by the watch.
+      auto start = co_await mStore.List("release");
+      if (start) {
+        revision = start.value().mRevision;
+        listed = co_await ListAll();
+      }
+      if (!listed) {
+        co_await Pause(
+          std::max<Duration>(mStore.RetryPause(), kLeastRetryPause));
+        continue;
+      }
+    }
+    if (!IsWatcher()) {
+      revision.reset();
+      co_await Pause(kWatcherCheck);
+      continue;
+    }
+    if (!revision) {
+      listed = false;
+      continue;
+    }
+    auto changes = co_await mStore.Watch("", *revision, kWatchTimeout);
+    if (mStopping) {
+      co_return;
+    }
+    if (!changes) {
+      listed = changes.error().mCode != ResultCode::InvalidState;
+      co_await Pause(std::max<Duration>(mStore.RetryPause(), kLeastRetryPause));
+      continue;
+    }
+    revision = changes.value().mRevision;
+    mCutOff.NoteContact(SteadyNow());
+    for (const auto& it : changes.value().mChanges) {
+      OnStoreChange(it);
+      if (it.mKind == kConfigurationKind || it.mKind == kViewKind ||
+          !it.mValue) {
+        continue;
+      }
+      const peer::ObjectChanged notice{
+        it.mKind, it.mName, it.mVersion, *it.mValue
+      };
+      for (const auto& member : mFleet.mDirectory.Members(mFleet.mSelf.mZone)) {
+        if (member.mName != mFleet.mSelf.mName) {
+          mTransport.Notify({ member.mAddress, member.mPeerPort }, notice);
+        }
+      }
+    }
+  }
+}
+
+Awaitable<void> MembershipService::PlatformListLoop()
+{
+  while (!mStopping) {
+    co_await Pause(kPlatformListInterval);
+    // One member a zone reads the list; what it learns leads to a view change
+    // that the others see.
+    if (mStopping || !IsWatcher()) {
+      continue;
+    }
+    auto listed = co_await mStore.ListInstances();
+    if (!listed) {
+      continue;
+    }
+    for (const auto& it : listed.value()) {
+      if (it.mState == "terminated") {
+        mTable.OnTerminated(InstanceName(it.mName));
+      }
+    }
+  }
+}
+
+} // namespace pollenway
--- a/src/MembershipTable.cpp
+++ b/src/MembershipTable.cpp
@@ -233,11 +233,13 @@
            aOut);
     } else if (const auto* join = std::get_if<act::AskToJoin>(&it)) {
       const auto& self = mZone->Self();
-      SendOneWay(
-        join->mTo,
-        peer::Join{
-          mZone->Zone(), self.mAddress, self.mEntryPort, self.mPeerPort },
-        aOut);
+      SendOneWay(join->mTo,
+                 peer::Join{ mZone->Zone(),
+                             self.mAddress,
+                             self.mEntryPort,
+                             self.mPeerPort,
+                             self.mRelayPort },
+                 aOut);
     } else {
       aOut.push_back(std::move(it));
     }
@@ -389,6 +391,7 @@
                                join->mAddress,
                                join->mEntryPort,
                                join->mPeerPort,
+                               join->mRelayPort,
                                0 };
       Wrap(aNow, mZone->OnJoinRequest(aNow, member), aOut);
     }
--- a/src/PeerBodies.h
+++ b/src/PeerBodies.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmitMessage.h"
 #include "Ids.h"
 #include "ResultCode.h"
 
@@ -117,10 +118,14 @@
   std::string mAddress;
   uint16_t mEntryPort = 0;
   uint16_t mPeerPort = 0;
+  uint16_t mRelayPort = 0;
   static auto Fields(auto& aSelf)
   {
-    return std::tie(
-      aSelf.mZone, aSelf.mAddress, aSelf.mEntryPort, aSelf.mPeerPort);
+    return std::tie(aSelf.mZone,
+                    aSelf.mAddress,
+                    aSelf.mEntryPort,
+                    aSelf.mPeerPort,
+                    aSelf.mRelayPort);
   }
 };
 
@@ -181,82 +186,69 @@
   static auto Fields(auto& aSelf) { return std::tie(aSelf.mWithdrawals); }
 };
 
-/// Asks the owner of a workspace's account for tokens.
+/// Asks the owner of a workspace's account in the receiver's zone for tokens.
 struct Admit
 {
   WorkspaceName mWorkspace;
-  uint32_t mTokens = 1;
-  /// Sent by another zone's account owner, which must not be forwarded again.
-  bool mFromOwner = false;
   /// View of the receiver's zone by which the sender chose it.
   uint64_t mViewNumber = 0;
+  AdmitRequest mRequest;
   static auto Fields(auto& aSelf)
   {
-    return std::tie(
-      aSelf.mWorkspace, aSelf.mTokens, aSelf.mFromOwner, aSelf.mViewNumber);
+    return std::tie(aSelf.mWorkspace, aSelf.mViewNumber, aSelf.mRequest);
   }
 };
 
 struct AdmitReply
 {
-  /// Ok, RateExceeded, LimitOwnerUnavailable or StaleView.
+  /// Ok, or StaleView if the receiver does not own the account.
   ResultCode mCode = ResultCode::Ok;
-  uint32_t mTokens = 0;
-  /// How long the tokens may be used, counted from the request's sending.
-  uint32_t mValidMs = 0;
-  /// Tokens left with the owner, to choose whom to ask next.
-  uint32_t mTokensLeft = 0;
-  uint32_t mRetryAfterMs = 0;
   uint64_t mViewNumber = 0;
+  pollenway::AdmitReply mReply;
   static auto Fields(auto& aSelf)
   {
-    return std::tie(aSelf.mCode,
-                    aSelf.mTokens,
-                    aSelf.mValidMs,
-                    aSelf.mTokensLeft,
-                    aSelf.mRetryAfterMs,
-                    aSelf.mViewNumber);
+    return std::tie(aSelf.mCode, aSelf.mViewNumber, aSelf.mReply);
   }
 };
 
-/// The old owner of an account has stopped using it and hands over its tokens.
-struct AccountHandover
+/// A write that the sender's watch of the store reported; for the members of
+/// its own zone, so that one watch serves them all.
+struct ObjectChanged
 {
-  WorkspaceName mWorkspace;
-  uint64_t mViewNumber = 0;
-  double mTokens = 0;
+  std::string mKind;
+  std::string mName;
+  uint64_t mVersion = 0;
+  std::string mValue;
   static auto Fields(auto& aSelf)
   {
-    return std::tie(aSelf.mWorkspace, aSelf.mViewNumber, aSelf.mTokens);
+    return std::tie(aSelf.mKind, aSelf.mName, aSelf.mVersion, aSelf.mValue);
   }
 };
 
-struct AccountHandoverReply
-{
-  ResultCode mCode = ResultCode::Ok;
-  static auto Fields(auto& aSelf) { return std::tie(aSelf.mCode); }
-};
-
-/// The old slot owner of a target has stopped dispatching to it. Sent again
-/// with fewer requests as they end.
+/// The new slot owner of a target asks what the receiver still holds of it.
+/// The receiver has stopped dispatching to it if its view is that of the
+/// sender.
 struct SlotHandover
 {
   TargetName mTarget;
   uint64_t mViewNumber = 0;
-  /// Requests of the old owner that still occupy slots.
-  uint32_t mInFlight = 0;
-  uint32_t mConnections = 0;
   static auto Fields(auto& aSelf)
   {
-    return std::tie(
-      aSelf.mTarget, aSelf.mViewNumber, aSelf.mInFlight, aSelf.mConnections);
+    return std::tie(aSelf.mTarget, aSelf.mViewNumber);
   }
 };
 
 struct SlotHandoverReply
 {
+  /// Ok, or StaleView if the receiver acts by another view.
   ResultCode mCode = ResultCode::Ok;
-  static auto Fields(auto& aSelf) { return std::tie(aSelf.mCode); }
+  /// Requests of the receiver that still occupy slots.
+  uint32_t mInFlight = 0;
+  uint32_t mConnections = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mCode, aSelf.mInFlight, aSelf.mConnections);
+  }
 };
 
 /// Progress of a request with an idempotency key.
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -25,8 +25,7 @@
   "Withdrawals",
   "Admit",
   "AdmitReply",
-  "AccountHandover",
-  "AccountHandoverReply",
+  "ObjectChanged",
   "SlotHandover",
   "SlotHandoverReply",
   "RecordPut",
@@ -60,6 +59,8 @@
 
 constexpr uint32_t kFieldCount = 8;
 constexpr size_t kMaxNameLength = 255;
+// Durations are nanoseconds; longer ones than a day mean nothing here.
+constexpr Duration kMaxDuration = std::chrono::hours(24);
 constexpr uint32_t kMaxDepth = 8;
 // Objects in one message. An object takes 24 bytes while decoding, so that the
 // tree stays below the highest frame size.
@@ -127,6 +128,8 @@
     PackText(aOut, aValue.Text());
   } else if constexpr (std::is_same_v<T, std::string>) {
     PackText(aOut, aValue);
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    aOut.pack(uint64_t(std::max<Duration::rep>(0, aValue.count())));
   } else if constexpr (std::is_enum_v<T>) {
     aOut.pack(std::underlying_type_t<T>(aValue));
   } else {
@@ -198,6 +201,13 @@
     }
     aValue = aIn.via.f64;
     return std::isfinite(aValue);
+  } else if constexpr (std::is_same_v<T, Duration>) {
+    uint64_t n = 0;
+    if (!Unpack(aIn, n) || n > uint64_t(kMaxDuration.count())) {
+      return false;
+    }
+    aValue = Duration(Duration::rep(n));
+    return true;
   } else if constexpr (std::is_same_v<T, peer::RecordState>) {
     if (aIn.type != msgpack::type::POSITIVE_INTEGER ||
         aIn.via.u64 > uint64_t(peer::RecordState::NotRun)) {
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -147,6 +147,32 @@
   }
 }
 
+void PeerTransport::SendMessage(const InstanceName& aTo,
+                                const std::optional<IpEndpoint>& aPeer,
+                                const PeerMessage& aMessage)
+{
+  auto frame = EncodePeerFrame(aMessage);
+  if (!frame) {
+    return;
+  }
+  if (aPeer) {
+    SendTo(*aPeer, std::move(frame.value()));
+    return;
+  }
+  const auto it = mLastLinkOf.find(aTo);
+  const auto link = it == mLastLinkOf.end() ? nullptr : it->second.lock();
+  if (link) {
+    ++mStatistics.mSent;
+    mStatistics.mBytesSent += frame.value().size();
+    link->Send(std::move(frame.value()));
+  }
+}
+
+void PeerTransport::SetIncarnation(Incarnation aIncarnation)
+{
+  mSelf.mIncarnation = aIncarnation;
+}
+
 void PeerTransport::SendTo(const IpEndpoint& aPeer, std::string aFrame)
 {
   ++mStatistics.mSent;
@@ -201,8 +227,9 @@
     aLink->Close();
     return;
   }
+  mLastLinkOf[message.value().mSender] = aLink;
   if (message.value().mIsReply) {
-    OnReply(std::move(message.value()));
+    OnReply(aLink, std::move(message.value()));
     return;
   }
   const Incarnation receiver = message.value().mReceiverIncarnation;
@@ -214,8 +241,13 @@
   Spawn(mExecutor, Serve(aLink, std::move(message.value())));
 }
 
-void PeerTransport::OnReply(PeerMessage aMessage)
+void PeerTransport::OnReply(const std::shared_ptr<PeerLink>& aLink,
+                            PeerMessage aMessage)
 {
+  if (aMessage.mRequestId < kFirstCallId) {
+    Spawn(mExecutor, Serve(aLink, std::move(aMessage)));
+    return;
+  }
   const auto it = mPending.find(aMessage.mRequestId);
   const bool mine = aMessage.mReceiverIncarnation == mSelf.mIncarnation;
   const bool known = it != mPending.end() && !it->second->mReply && mine;
@@ -234,7 +266,7 @@
 Awaitable<void> PeerTransport::Serve(std::shared_ptr<PeerLink> aLink,
                                      PeerMessage aMessage)
 {
-  const uint64_t id = aMessage.mRequestId;
+  const uint64_t id = aMessage.mIsReply ? 0 : aMessage.mRequestId;
   const Incarnation requester = aMessage.mIncarnation;
   auto body = co_await mHandler(std::move(aMessage));
   if (!body || id == 0) {
@@ -252,6 +284,18 @@
   }
 }
 
+void PeerTransport::CloseLink(const IpEndpoint& aPeer)
+{
+  auto it = mLinks.find(aPeer);
+  if (it == mLinks.end() || !it->second.mLink) {
+    return;
+  }
+  ++mStatistics.mReplacedLinks;
+  it->second.mLink->Close();
+  it->second.mLink.reset();
+  it->second.mUnansweredSince.reset();
+}
+
 void PeerTransport::DropSilentLinks(Duration aSilence)
 {
   const TimePoint now = SteadyNow();
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -31,6 +31,7 @@
 {
 public:
   /// Gives the answer to a request, or none. Notices (request id 0) get none.
+  /// Also gets the replies to messages that `SendMessage` sent.
   using Handler =
     std::function<Awaitable<std::optional<PeerBody>>(PeerMessage)>;
 
@@ -48,7 +49,16 @@
                                       Duration aTimeout);
   /// Sends a notice without a reply; lost if the peer can't be reached.
   void Notify(IpEndpoint aPeer, PeerBody aBody);
+  /// Sends a message whose envelope another part has filled in. Without an
+  /// address it goes back on the link on which `aTo` last sent.
+  void SendMessage(const InstanceName& aTo,
+                   const std::optional<IpEndpoint>& aPeer,
+                   const PeerMessage& aMessage);
+  /// This process has joined its zone as a new run.
+  void SetIncarnation(Incarnation aIncarnation);
 
+  /// Closes the link to a peer; the next message connects anew.
+  void CloseLink(const IpEndpoint& aPeer);
   /// Closes links on which nothing arrived for `aSilence` although a call is
   /// open; the next call connects anew.
   void DropSilentLinks(Duration aSilence);
@@ -56,6 +66,10 @@
   const PeerStatistics& Statistics() const { return mStatistics; }
 
 private:
+  /// Calls use the upper half of the request ids, so that replies to messages
+  /// of `SendMessage` can be told apart.
+  static constexpr uint64_t kFirstCallId = uint64_t(1) << 62;
+
   struct PendingCall;
   struct OutboundLink
   {
@@ -70,7 +84,7 @@
   Awaitable<void> ConnectTo(IpEndpoint aPeer);
   Awaitable<void> Accept();
   void OnFrame(const std::shared_ptr<PeerLink>& aLink, std::string aFrame);
-  void OnReply(PeerMessage aMessage);
+  void OnReply(const std::shared_ptr<PeerLink>& aLink, PeerMessage aMessage);
   Awaitable<void> Serve(std::shared_ptr<PeerLink> aLink, PeerMessage aMessage);
   PeerMessage MakeMessage(PeerBody aBody) const;
   PeerLink::FrameHandler FrameHandler();
@@ -81,8 +95,9 @@
   tcp::acceptor mAcceptor;
   std::map<IpEndpoint, OutboundLink> mLinks;
   std::vector<std::weak_ptr<PeerLink>> mInbound;
+  std::unordered_map<InstanceName, std::weak_ptr<PeerLink>> mLastLinkOf;
   std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> mPending;
-  uint64_t mNextRequestId = 1;
+  uint64_t mNextRequestId = kFirstCallId;
   PeerStatistics mStatistics;
   bool mStopping = false;
 };
--- a/src/ShareBalancer.cpp
+++ b/src/ShareBalancer.cpp
@@ -219,14 +219,14 @@
 }
 
 void ShareBalancer::OnWriteResult(uint64_t aSerial,
-                                  WriteOutcome aOutcome,
+                                  MoveOutcome aOutcome,
                                   TimePoint aNow)
 {
   if (!mInFlight || mInFlight->mSerial != aSerial) {
     return;
   }
   const AllotmentWrite write = *std::exchange(mInFlight, std::nullopt);
-  if (aOutcome == WriteOutcome::Committed) {
+  if (aOutcome == MoveOutcome::Committed) {
     // Nobody can have written since the takeover with this base or a higher
     // one, so no predecessor's write can take effect any more.
     mFenceRequired = false;
--- a/src/ShareBalancer.h
+++ b/src/ShareBalancer.h
@@ -28,7 +28,7 @@
   Allotment mValue;
 };
 
-enum class WriteOutcome
+enum class MoveOutcome
 {
   Committed,
   Conflict,
@@ -115,7 +115,7 @@
                                           TimePoint aNow);
 
   /// A committed write also counts as having read the written version.
-  void OnWriteResult(uint64_t aSerial, WriteOutcome aOutcome, TimePoint aNow);
+  void OnWriteResult(uint64_t aSerial, MoveOutcome aOutcome, TimePoint aNow);
 
   /// The fraction that the zone's bucket may use (millionths).
   uint32_t UsableFraction() const;
--- a/src/ZoneView.cpp
+++ b/src/ZoneView.cpp
@@ -119,6 +119,7 @@
                         { "address", it.mAddress },
                         { "entryPort", it.mEntryPort },
                         { "peerPort", it.mPeerPort },
+                        { "relayPort", it.mRelayPort },
                         { "completedView", it.mCompletedView } });
   }
   return json{
@@ -153,6 +154,7 @@
         !ReadText(it, "address", member.mAddress) ||
         !ReadNumber(it, "entryPort", member.mEntryPort) ||
         !ReadNumber(it, "peerPort", member.mPeerPort) ||
+        !ReadNumber(it, "relayPort", member.mRelayPort) ||
         !ReadNumber(it, "completedView", member.mCompletedView)) {
       return BadField("/members");
     }
--- a/src/ZoneView.h
+++ b/src/ZoneView.h
@@ -20,6 +20,7 @@
   std::string mAddress;
   uint16_t mEntryPort = 0;
   uint16_t mPeerPort = 0;
+  uint16_t mRelayPort = 0;
   /// Last view for which the member completed its collection of idempotency
   /// records; 0 if none.
   uint64_t mCompletedView = 0;
--- a/test/PeerSamples.h
+++ b/test/PeerSamples.h
@@ -51,8 +51,9 @@
       reply->mDigest = digest;
     } else if (auto* withdrawals = std::get_if<peer::Withdrawals>(&it.mBody)) {
       withdrawals->mWithdrawals = { { KeyId("k1"), 4 }, { KeyId("k2"), 0 } };
-    } else if (auto* handover = std::get_if<peer::AccountHandover>(&it.mBody)) {
-      handover->mTokens = 2.5;
+    } else if (auto* admit = std::get_if<peer::AdmitReply>(&it.mBody)) {
+      admit->mReply.mTokens = 2.5;
+      admit->mReply.mRetryAfter = std::chrono::milliseconds(7);
     } else if (auto* found = std::get_if<peer::RecordGetReply>(&it.mBody)) {
       found->mRecord = record;
     } else if (auto* all = std::get_if<peer::RecordCollectReply>(&it.mBody)) {
--- a/test/correctness/FleetLimitsRandom.cpp
+++ b/test/correctness/FleetLimitsRandom.cpp
@@ -445,8 +445,8 @@
       if (!lost) {
         answer([=, this](AccountHolder& aTo) {
           aTo.OnWriteResult(write->mSerial,
-                            ok ? WriteOutcome::Committed
-                               : WriteOutcome::Conflict,
+                            ok ? MoveOutcome::Committed
+                               : MoveOutcome::Conflict,
                             Local(mNodes[to]));
         });
       }
@@ -455,7 +455,7 @@
       At(milliseconds(300), [=, this] {
         answer([=, this](AccountHolder& aTo) {
           aTo.OnWriteResult(
-            write->mSerial, WriteOutcome::Unknown, Local(mNodes[to]));
+            write->mSerial, MoveOutcome::Unknown, Local(mNodes[to]));
         });
       });
     }
