Weigh load summaries by the target's own latency

Change: a summary counts half after the latency of two requests; a running mean of the summaries takes its place and itself ages.

--- a/src/TargetObservations.cpp
+++ b/src/TargetObservations.cpp
@@ -11,6 +11,8 @@
 
 // Weight of one request in the running averages.
 constexpr double kSampleWeight = 0.1;
+// Weight of one load summary in their running mean.
+constexpr double kSummaryWeight = 0.1;
 // Requests in a row that end an ejection's doubling.
 constexpr unsigned kOkToForget = 50;
 
@@ -212,8 +214,14 @@
   auto* state = Find(aTarget);
   if (state &&
       (!state->mSummary || state->mSummary->mCounted <= aSummary.mCounted)) {
+    // The summary contains the own requests outstanding.
+    state->mOthers =
+      std::max(0.0, aSummary.mLoad - double(state->mOutstanding));
+    state->mMeanOthers =
+      state->mSummary ? state->mMeanOthers +
+                          kSummaryWeight * (state->mOthers - state->mMeanOthers)
+                      : state->mOthers;
     state->mSummary = aSummary;
-    state->mOutstandingAtSummary = state->mOutstanding;
   }
 }
 
@@ -255,10 +263,14 @@
     return own;
   }
   const double age = std::max(0.0, ToSeconds(aNow - aState.mSummary->mCounted));
-  const double weight = std::exp2(-age / ToSeconds(mOptions.mLoadHalfLife));
-  const double others = std::max(
-    0.0, aState.mSummary->mLoad - double(aState.mOutstandingAtSummary));
-  return own + weight * others;
+  const double halfLife =
+    aState.mLatencyMs > 0
+      ? std::min(ToSeconds(mOptions.mLoadHalfLife), aState.mLatencyMs * 2e-3)
+      : ToSeconds(mOptions.mLoadHalfLife);
+  const double weight = std::exp2(-age / halfLife);
+  const double meanWeight = std::exp2(-age / ToSeconds(mOptions.mMeanHalfLife));
+  return own + weight * aState.mOthers +
+         (1 - weight) * meanWeight * aState.mMeanOthers;
 }
 
 TargetReason TargetObservations::ReasonOf(const State& aState,
--- a/src/TargetObservations.h
+++ b/src/TargetObservations.h
@@ -46,8 +46,13 @@
   double mSlowFactor = 5;
   /// Requests needed before failed share or latency count.
   unsigned mLeastSamples = 20;
-  /// A load summary of this age counts half.
+  /// A load summary of this age counts half, or earlier: after the latency of
+  /// two requests the requests that it counted have ended. Without this all
+  /// instances send to the target that looked idle until the next summary.
   Duration mLoadHalfLife = std::chrono::seconds(1);
+  /// The mean of the summaries takes the place of the last one as that ages,
+  /// and counts half at this age.
+  Duration mMeanHalfLife = std::chrono::seconds(10);
   /// A health report older than this does not count.
   Duration mReportTtl = std::chrono::seconds(10);
   /// A shed answer counts as "full" for this long.
@@ -96,8 +101,9 @@
     SelectableTarget mTarget;
     unsigned mOutstanding = 0;
     std::optional<LoadSummary> mSummary;
-    /// Own requests outstanding when the summary came, which it contains.
-    unsigned mOutstandingAtSummary = 0;
+    /// Others' requests by the last summary, and their running mean.
+    double mOthers = 0;
+    double mMeanOthers = 0;
     std::optional<HealthReport> mReport;
     TimePoint mReportAt{};
     std::optional<TimePoint> mLastOk;
