--- a/src/AccountState.h
+++ b/src/AccountState.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace pollenway {
@@ -20,6 +21,12 @@
   double mAmount = 0;
   std::string mHolder{};
   uint64_t mRequest = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mRemaining, aSelf.mAmount, aSelf.mHolder, aSelf.mRequest);
+  }
 };
 
 /// What an account's old owner hands to the new one.
@@ -36,6 +43,19 @@
   double mBurst = 0;
   /// Requests per second of the zone.
   double mDemand = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mTokens,
+                    aSelf.mHolds,
+                    aSelf.mCommitted,
+                    aSelf.mPending,
+                    aSelf.mFenceRequired,
+                    aSelf.mGeneration,
+                    aSelf.mRate,
+                    aSelf.mBurst,
+                    aSelf.mDemand);
+  }
 };
 
 } // namespace pollenway
--- a/src/AttemptId.h
+++ b/src/AttemptId.h
@@ -2,6 +2,8 @@
 
 #include "HomeMember.h"
 
+#include <tuple>
+
 namespace pollenway {
 
 /// One request of a caller as received by one instance. That instance runs it
@@ -13,6 +15,11 @@
   uint64_t mNumber = 0;
 
   auto operator<=>(const AttemptId&) const = default;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mReceiver, aSelf.mNumber);
+  }
 };
 
 } // namespace pollenway
--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -1,12 +1,13 @@
 #include "CallerFrontend.h"
 
+#include "HashOf.h"
 #include "HeaderNames.h"
 #include "HttpHeaders.h"
 #include "Logger.h"
 #include "NetworkPrefix.h"
 #include "RendezvousHash.h"
-#include "Sha256.h"
 #include "SteadyTime.h"
+#include "StoredAnswer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -23,6 +24,9 @@
 /// connection that went silent then leaves time for a retry.
 constexpr int kAttemptDivisor = 2;
 
+constexpr auto kRetryAfter = std::chrono::seconds(1);
+constexpr auto kLeastRetryAfter = std::chrono::milliseconds(1);
+
 SelectableTarget Selectable(const Inventory& aInventory,
                             const Target& aTarget,
                             const RegionName& aOwnRegion)
@@ -76,9 +80,15 @@
 
 CallerFrontend::CallerFrontend(asio::any_io_executor aExecutor,
                                FleetState& aFleet,
+                               MembershipService& aMembership,
+                               LimitService& aLimits,
+                               HomeService& aHomes,
                                BackendDispatcher& aDispatcher,
                                ForwarderOptions aOptions)
   : mFleet(aFleet)
+  , mMembership(aMembership)
+  , mLimits(aLimits)
+  , mHomes(aHomes)
   , mDispatcher(aDispatcher)
   , mRelay(aExecutor, aOptions)
   , mServer(aExecutor, {}, [this](HttpConnection& aConnection) {
@@ -181,30 +191,11 @@
                                 { "ttl_ms", ttl.count() },
                                 { "region", region.Text() },
                                 { "instances", instances } };
+  mLastLookup = SteadyNow();
   TextResponse answer = MakeJsonAnswer(http::status::ok, body.dump() + "\n");
   co_await aConnection.Write(std::move(answer));
 }
 
-Result<const Workspace*> CallerFrontend::Authenticate(
-  const Inventory& aInventory,
-  const std::string& aKey) const
-{
-  if (aKey.empty()) {
-    return Error{ ResultCode::MissingKey, "no tenant key", {} };
-  }
-  const std::string digest = Sha256Hex(aKey);
-  for (const auto& it : aInventory.mKeys) {
-    if (it.mDigest != digest) {
-      continue;
-    }
-    if (it.mWithdrawn) {
-      return Error{ ResultCode::WithdrawnKey, "the key is withdrawn", {} };
-    }
-    return aInventory.FindWorkspace(it.mWorkspace);
-  }
-  return Error{ ResultCode::UnknownKey, "unknown tenant key", {} };
-}
-
 std::string CallerFrontend::NextRequestId()
 {
   return mFleet.mSelf.mName.Text() + "-" +
@@ -226,9 +217,9 @@
     match = inventory->MatchRoute(method, path);
   }
   if (match.mRoute && match.mRoute->mAccess == RouteAccess::Keyed) {
-    auto found = Authenticate(*inventory, BearerKey(head));
+    auto found = mMembership.Authenticate(BearerKey(head));
     if (found) {
-      workspace = found.value();
+      workspace = inventory->FindWorkspace(found.value());
     } else {
       error = found.error();
       match.mRoute = nullptr;
@@ -276,7 +267,31 @@
   RemoveHopFields(head);
   RemovePrivateFields(head);
   request.mHeader = std::move(head);
-  co_await Run(request);
+  const std::string key = FieldText(request.mHeader, header::kIdempotencyKey);
+  const bool isProtected = request.mExecution == RouteExecution::AtMostOnce;
+  if (isProtected && key.empty()) {
+    co_await Refuse(request, ResultCode::MissingIdempotencyKey, Duration(0));
+    co_return;
+  }
+  if (workspace) {
+    const bool admitted = co_await AdmitByRate(request);
+    if (!admitted) {
+      co_return;
+    }
+  }
+  if (isProtected) {
+    co_await RunProtected(request, key);
+    co_return;
+  }
+  RunResult result = co_await Run(request, nullptr);
+  if (result.mFinished) {
+    co_return;
+  }
+  if (result.mCode != ResultCode::Ok) {
+    co_await Refuse(request, result.mCode, kRetryAfter);
+    co_return;
+  }
+  co_await aConnection.Write(std::move(result.mAnswer));
 }
 
 Awaitable<AttemptResult> CallerFrontend::Attempt(RequestContext& aRequest,
@@ -301,21 +316,117 @@
   co_return result;
 }
 
-Awaitable<void> CallerFrontend::Run(RequestContext& aRequest)
+Awaitable<void> CallerFrontend::Refuse(RequestContext& aRequest,
+                                       ResultCode aCode,
+                                       Duration aRetryAfter)
+{
+  ++mRefusals[aCode];
+  TextResponse refusal =
+    MakeRefusal(aCode, std::string(Name(aCode)), aRetryAfter);
+  refusal.set(header::kRequestId, aRequest.mId);
+  co_await aRequest.mSource.Write(std::move(refusal));
+}
+
+Awaitable<bool> CallerFrontend::AdmitByRate(RequestContext& aRequest)
+{
+  const auto decision = co_await mLimits.Admit(aRequest.mWorkspace);
+  if (decision.mCode == ResultCode::Ok) {
+    co_return true;
+  }
+  co_await Refuse(aRequest,
+                  decision.mCode,
+                  std::max<Duration>(decision.mRetryAfter, kLeastRetryAfter));
+  co_return false;
+}
+
+Awaitable<void> CallerFrontend::RunProtected(RequestContext& aRequest,
+                                             std::string aKey)
+{
+  const std::string length =
+    std::to_string(aRequest.mSource.BodyLength().value_or(0));
+  const uint64_t fingerprint =
+    HashOf({ std::string_view(aRequest.mHeader.method_string().data(),
+                              aRequest.mHeader.method_string().size()),
+             std::string_view(aRequest.mHeader.target().data(),
+                              aRequest.mHeader.target().size()),
+             length });
+  const RecordKey key{ aRequest.mWorkspace, std::move(aKey) };
+  auto record = mHomes.Make(key, fingerprint);
+  const auto step = co_await mHomes.Begin(record, aRequest.mDeadline);
+  if (step == ProtectedRequest::Step::Answer) {
+    TextResponse stored = DecodeStoredAnswer(mHomes.AnswerOf(*record));
+    stored.set(header::kRequestId, aRequest.mId);
+    co_await aRequest.mSource.Write(std::move(stored));
+    co_return;
+  }
+  if (step != ProtectedRequest::Step::Run) {
+    const ResultCode code = mHomes.RefusalOf(*record);
+    mHomes.End(record, RecordEnding::NotRun, {});
+    co_await Refuse(aRequest, code, kRetryAfter);
+    co_return;
+  }
+  RunResult result = co_await Run(aRequest, record.get());
+  if (result.mFinished) {
+    const auto ending =
+      result.mMayHaveRun ? RecordEnding::Unknown : RecordEnding::NotRun;
+    mHomes.End(record,
+               result.mCode == ResultCode::Ok ? RecordEnding::Answered : ending,
+               {});
+    co_return;
+  }
+  if (result.mCode != ResultCode::Ok) {
+    mHomes.End(record,
+               result.mMayHaveRun ? RecordEnding::Unknown
+                                  : RecordEnding::NotRun,
+               {});
+    co_await Refuse(aRequest, result.mCode, kRetryAfter);
+    co_return;
+  }
+  mHomes.End(
+    record, RecordEnding::Answered, EncodeStoredAnswer(result.mAnswer));
+  co_await aRequest.mSource.Write(std::move(result.mAnswer));
+}
+
+void CallerFrontend::ObserveLoads()
+{
+  for (const auto& [target, load] : mMembership.Table().Loads()) {
+    const auto* declared = mFleet.mInventory->FindTarget(target);
+    const auto selector =
+      declared ? mSelectors.find(declared->mService) : mSelectors.end();
+    if (selector == mSelectors.end()) {
+      continue;
+    }
+    const auto& summary = load.mSummary;
+    selector->second.OnLoadSummary(
+      target,
+      { .mLoad = double(summary.mInFlight + summary.mQueued),
+        .mCounted = load.mObservedAt });
+  }
+}
+
+Awaitable<CallerFrontend::RunResult> CallerFrontend::Run(
+  RequestContext& aRequest,
+  HomeService::Protected* aProtected)
 {
   auto& selector = mSelectors.at(aRequest.mService);
   auto& budget = mBudgets[aRequest.mService];
   budget.OnRequest();
+  RunResult out;
+  out.mCode = ResultCode::NoTarget;
   std::vector<TargetName> excluded;
   AttemptReport report{ .mExecution = aRequest.mExecution,
                         .mDeadline = aRequest.mDeadline };
-  ResultCode code = ResultCode::NoTarget;
   for (report.mAttempts = 1;; ++report.mAttempts) {
     const TimePoint start = SteadyNow();
     const auto target = selector.Select(excluded, mFleet.mRandom, start);
     if (!target) {
       break;
     }
+    // The home's permission lapses; after that the request may not start.
+    if (aProtected && report.mAttempts == 1 && !mHomes.TryStart(*aProtected)) {
+      out.mCode = ResultCode::HomeUnavailable;
+      break;
+    }
     excluded.push_back(*target);
     const Duration left = aRequest.mDeadline - start;
     const bool canRepeat =
@@ -326,35 +437,43 @@
     const TimePoint end = SteadyNow();
     selector.OnEnd(
       *target, EndOf(result, aRequest.mCallerGone), end - start, end);
+    const bool refused = result.mRefusal != ResultCode::Ok;
     if (result.mStreamed || aRequest.mCallerGone) {
-      co_return;
+      out.mFinished = true;
+      out.mMayHaveRun =
+        report.mEarlierMayHaveRun || (!refused && result.mBytesSent);
+      out.mCode = result.IsAnswered() ? ResultCode::Ok
+                                      : ResultCode::BackendConnectionLost;
+      co_return out;
     }
     if (result.IsAnswered()) {
-      co_await aRequest.mSource.Write(std::move(result.mAnswer));
-      co_return;
+      out.mCode = ResultCode::Ok;
+      out.mMayHaveRun = true;
+      out.mAnswer = std::move(result.mAnswer);
+      co_return out;
     }
-    const bool refused = result.mRefusal != ResultCode::Ok;
     report.mFailure = refused ? AttemptFailure::Shed : *result.mFailure;
     report.mBytesSent = !refused && result.mBytesSent;
     report.mAnswerStarted = result.mAnswerStarted;
     report.mCanSendAgain = aRequest.mBodyKept || !aRequest.mBodyConsumed;
     const auto decision = mRetryPolicy.Decide(report, budget, end);
     report.mEarlierMayHaveRun = decision.mMayHaveRun;
+    out.mMayHaveRun = decision.mMayHaveRun;
     if (!decision.mMayHaveRun) {
-      code = refused ? result.mRefusal : ResultCode::NoTarget;
+      out.mCode = refused ? result.mRefusal : ResultCode::NoTarget;
     } else {
-      code = report.mFailure == AttemptFailure::Timeout
-               ? ResultCode::BackendTimeout
-               : ResultCode::BackendConnectionLost;
+      out.mCode = report.mFailure == AttemptFailure::Timeout
+                    ? ResultCode::BackendTimeout
+                    : ResultCode::BackendConnectionLost;
     }
     if (!decision.mRetry) {
-      code = refused && !decision.mMayHaveRun ? code : decision.mCode;
+      if (!refused || decision.mMayHaveRun) {
+        out.mCode = decision.mCode;
+      }
       break;
     }
   }
-  TextResponse refusal =
-    MakeRefusal(code, "no attempt succeeded", std::chrono::seconds(1));
-  co_await aRequest.mSource.Write(std::move(refusal));
+  co_return out;
 }
 
 } // namespace pollenway
--- a/src/CallerFrontend.h
+++ b/src/CallerFrontend.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "BackendDispatcher.h"
+#include "HomeService.h"
 #include "HttpServer.h"
+#include "LimitService.h"
+#include "MembershipService.h"
 #include "RelayClient.h"
 #include "RetryPolicy.h"
 #include "TargetSelector.h"
@@ -16,35 +19,65 @@
 public:
   CallerFrontend(asio::any_io_executor aExecutor,
                  FleetState& aFleet,
+                 MembershipService& aMembership,
+                 LimitService& aLimits,
+                 HomeService& aHomes,
                  BackendDispatcher& aDispatcher,
                  ForwarderOptions aOptions);
 
   Result<void> Listen();
   /// Call after `FleetState::mInventory` was replaced.
   void OnInventory();
+  /// Takes the load summaries that heartbeats brought; call it often.
+  void ObserveLoads();
   HttpServer& Server() { return mServer; }
+  /// When the last look-up was answered.
+  TimePoint LastLookup() const { return mLastLookup; }
 
 private:
+  struct RunResult
+  {
+    /// Ok if it was answered.
+    ResultCode mCode = ResultCode::Ok;
+    bool mMayHaveRun = false;
+    /// Streamed, or the caller has gone.
+    bool mFinished = false;
+    TextResponse mAnswer{};
+  };
+
   Awaitable<void> Handle(HttpConnection& aConnection);
   Awaitable<void> HandleLookup(HttpConnection& aConnection);
   Awaitable<void> HandleRequest(HttpConnection& aConnection);
-  Awaitable<void> Run(RequestContext& aRequest);
+  /// Refuses the request if its workspace has no token left.
+  Awaitable<bool> AdmitByRate(RequestContext& aRequest);
+  /// Runs a request at most once under its idempotency key.
+  Awaitable<void> RunProtected(RequestContext& aRequest, std::string aKey);
+  /// Runs a request and gives the answer or refusal; nothing if the answer was
+  /// streamed or the caller has gone. `aProtected` is started before the first
+  /// attempt.
+  Awaitable<RunResult> Run(RequestContext& aRequest,
+                           HomeService::Protected* aProtected);
+  Awaitable<void> Refuse(RequestContext& aRequest,
+                         ResultCode aCode,
+                         Duration aRetryAfter);
   Awaitable<AttemptResult> Attempt(RequestContext& aRequest,
                                    TargetName aTarget,
                                    Duration aTimeout);
-  /// The workspace of the caller's key, or why there is none.
-  Result<const Workspace*> Authenticate(const Inventory& aInventory,
-                                        const std::string& aKey) const;
   std::string NextRequestId();
 
   FleetState& mFleet;
+  MembershipService& mMembership;
+  LimitService& mLimits;
+  HomeService& mHomes;
   BackendDispatcher& mDispatcher;
   RelayClient mRelay;
   HttpServer mServer;
   RetryPolicy mRetryPolicy;
   std::map<ServiceName, RetryBudget> mBudgets;
   std::map<ServiceName, TargetSelector> mSelectors;
+  std::map<ResultCode, uint64_t> mRefusals;
   uint64_t mRequests = 0;
+  TimePoint mLastLookup{};
 };
 
 } // namespace pollenway
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -1,21 +1,20 @@
 #include "EntryServer.h"
 
-#include "InventoryReader.h"
 #include "Logger.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
 
-#include <nlohmann/json.hpp>
-
 #include <random>
 
 namespace pollenway {
 
 namespace {
 
-constexpr auto kSyncInterval = std::chrono::milliseconds(500);
-constexpr auto kStoreTimeout = std::chrono::seconds(2);
-constexpr size_t kStoreAnswerBytes = 64 * 1024 * 1024;
+constexpr auto kLinkInterval = std::chrono::milliseconds(200);
+/// A peer link on which calls stay unanswered for this long is replaced.
+constexpr auto kLinkSilence = std::chrono::seconds(2);
+constexpr auto kLeaveTimeout = std::chrono::seconds(10);
+constexpr auto kStopPoll = std::chrono::milliseconds(20);
 
 FleetState MakeFleetState(EntrySettings aSettings)
 {
@@ -34,6 +33,16 @@
   return out;
 }
 
+StoreClient::Options MakeStoreOptions(FleetState& aFleet)
+{
+  StoreClient::Options options;
+  const auto& platform = aFleet.mSettings.mPlatform;
+  options.mEndpoint = { asio::ip::make_address(platform.mAddress),
+                        platform.mPort };
+  options.mSeed = aFleet.mRandom.Next();
+  return options;
+}
+
 ForwarderOptions MakeForwarderOptions(const EntrySettings& aSettings)
 {
   return { .mAnswerBufferBytes = aSettings.mMaxBufferedAnswerBytes };
@@ -44,24 +53,62 @@
 EntryServer::EntryServer(asio::io_context& aIo, EntrySettings aSettings)
   : mIo(aIo)
   , mFleet(MakeFleetState(std::move(aSettings)))
-  , mStorePool(aIo.get_executor(), {})
+  , mStore(aIo.get_executor(), MakeStoreOptions(mFleet))
+  , mTransport(
+      aIo.get_executor(),
+      mFleet.mSelf,
+      [this](PeerMessage aMessage) { return HandlePeer(std::move(aMessage)); })
+  , mMembership(aIo.get_executor(),
+                mFleet,
+                mStore,
+                mTransport,
+                MembershipCallbacks())
+  , mLimits(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
+  , mHomes(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
   , mDispatcher(aIo.get_executor(),
                 mFleet,
                 MakeForwarderOptions(mFleet.mSettings))
+  , mTargets(aIo.get_executor(), mFleet, mTransport, mMembership, mDispatcher)
   , mFrontend(aIo.get_executor(),
               mFleet,
+              mMembership,
+              mLimits,
+              mHomes,
               mDispatcher,
               MakeForwarderOptions(mFleet.mSettings))
   , mRelayServer(aIo.get_executor(), mFleet, mDispatcher)
-  , mSyncTimer(aIo)
 {
 }
 
+MembershipService::Callbacks EntryServer::MembershipCallbacks()
+{
+  MembershipService::Callbacks out;
+  out.mOnInventory = [this] {
+    mFrontend.OnInventory();
+    mLimits.OnInventory();
+    mTargets.UpdateOwners();
+  };
+  out.mOnDirectory = [this] { OnDirectory(); };
+  out.mOnObject = [this](const StoreChange& aChange) { OnObject(aChange); };
+  out.mOnRejoin = [this] {
+    mLimits.OnRejoin();
+    mHomes.OnRejoin();
+    mTargets.GiveUpAll();
+  };
+  return out;
+}
+
 Result<void> EntryServer::Start()
 {
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mRelayServer.Listen());
-  Spawn(mIo, SyncLoop());
+  BOOST_OUTCOME_TRYV(
+    mTransport.Listen(mFleet.mSettings.mAddress, mFleet.mSettings.mPeerPort));
+  mMembership.Start();
+  mLimits.Start();
+  mHomes.Start();
+  mTargets.Start();
+  Spawn(mIo, LinkLoop());
   Log(LogLevel::Info,
       "started",
       { { "instance", mFleet.mSelf.mName.Text() },
@@ -72,157 +119,126 @@
   return outcome::success();
 }
 
-void EntryServer::Stop()
+void EntryServer::OnDirectory()
 {
-  if (mStopping) {
-    return;
-  }
-  mStopping = true;
-  mFleet.mLeaving = true;
-  Log(LogLevel::Info,
-      "stopping",
-      { { "busy_connections", mFrontend.Server().BusyConnections() } });
-  Spawn(mIo, StopLoop());
+  mLimits.UpdateOwners();
+  mHomes.UpdateDirectory();
+  mTargets.UpdateOwners();
 }
 
-Awaitable<void> EntryServer::StopLoop()
+void EntryServer::OnObject(const StoreChange& aChange)
 {
-  const TimePoint limit = SteadyNow() + mFleet.mSettings.mDrainTimeout;
-  mSyncTimer.cancel();
-  mFrontend.Server().StopGracefully();
-  asio::steady_timer timer(mIo);
-  for (;;) {
-    const size_t busy = mFrontend.Server().BusyConnections() +
-                        mRelayServer.Server().BusyConnections();
-    if (busy == 0 || SteadyNow() >= limit) {
-      break;
-    }
-    timer.expires_after(std::chrono::milliseconds(20));
-    ErrorCode ec;
-    co_await timer.async_wait(Into(ec));
+  if (aChange.mKind == "allotment") {
+    mLimits.OnAllotment(aChange.mName, *aChange.mValue);
+  } else if (aChange.mKind == "homemap") {
+    mHomes.OnHomeMap(*aChange.mValue);
+  } else if (aChange.mKind == "release") {
+    mMembership.OnReleased(InstanceName(aChange.mName));
   }
-  mFrontend.Server().Abort();
-  mRelayServer.Server().Abort();
-  Log(LogLevel::Info, "stopped");
-  mIo.stop();
 }
 
-Awaitable<Result<TextResponse>> EntryServer::CallStore(http::verb aVerb,
-                                                       std::string aTarget,
-                                                       std::string aBody)
+Awaitable<std::optional<PeerBody>> EntryServer::HandlePeer(PeerMessage aMessage)
 {
-  const auto& platform = mFleet.mSettings.mPlatform;
-  const tcp::endpoint endpoint(asio::ip::make_address(platform.mAddress),
-                               platform.mPort);
-  TextRequest request(aVerb, aTarget, 11);
-  request.set(http::field::host, platform.mAddress);
-  request.body() = std::move(aBody);
-  auto answer = co_await mStorePool.Exchange(
-    endpoint, std::move(request), kStoreTimeout, kStoreAnswerBytes);
-  co_return answer;
+  std::optional<PeerBody> out;
+  if (std::holds_alternative<peer::Admit>(aMessage.mBody)) {
+    out = co_await mLimits.HandleAdmit(std::move(aMessage));
+  } else if (const auto* account =
+               std::get_if<peer::AccountHandover>(&aMessage.mBody)) {
+    out = mLimits.HandleHandover(*account);
+  } else if (const auto* slots =
+               std::get_if<peer::SlotHandover>(&aMessage.mBody)) {
+    out = mTargets.HandleHandover(*slots);
+  } else if (std::holds_alternative<peer::Home>(aMessage.mBody)) {
+    mHomes.HandleMessage(aMessage);
+  } else if (auto* changed =
+               std::get_if<peer::ObjectChanged>(&aMessage.mBody)) {
+    OnObject({ changed->mKind,
+               changed->mName,
+               changed->mVersion,
+               std::move(changed->mValue) });
+  } else {
+    mMembership.Handle(aMessage);
+  }
+  co_return out;
 }
 
-Awaitable<void> EntryServer::SyncLoop()
+Awaitable<void> EntryServer::LinkLoop()
 {
-  while (!mStopping) {
-    co_await SyncOnce();
-    mSyncTimer.expires_after(kSyncInterval);
+  asio::steady_timer timer(mIo);
+  for (;;) {
+    mTransport.DropSilentLinks(kLinkSilence);
+    mFrontend.ObserveLoads();
+    timer.expires_after(kLinkInterval);
     ErrorCode ec;
-    co_await mSyncTimer.async_wait(Into(ec));
+    co_await timer.async_wait(Into(ec));
   }
 }
 
-Awaitable<void> EntryServer::SyncOnce()
+void EntryServer::Stop()
 {
-  const auto& self = mFleet.mSelf;
-  const nlohmann::json value = {
-    { "incarnation", self.mIncarnation }, { "zone", self.mZone.Text() },
-    { "address", self.mAddress },         { "caller_port", self.mCallerPort },
-    { "peer_port", self.mPeerPort },      { "relay_port", self.mRelayPort }
-  };
-  auto put = co_await CallStore(
-    http::verb::put, "/v1/objects/instance/" + self.mName.Text(), value.dump());
-  auto listed =
-    co_await CallStore(http::verb::get, "/v1/objects/instance", std::string());
-  if (listed && listed.value().result() == http::status::ok) {
-    std::map<ZoneName, std::vector<InstanceInfo>> zones;
-    const auto list = nlohmann::json::parse(listed.value().body());
-    for (const auto& it : list) {
-      const auto fields =
-        nlohmann::json::parse(it.at("value").get<std::string>());
-      const ZoneName zone(fields.at("zone").get<std::string>());
-      zones[zone].push_back(
-        { .mName = InstanceName(it.at("name").get<std::string>()),
-          .mIncarnation = fields.at("incarnation").get<uint64_t>(),
-          .mZone = zone,
-          .mAddress = fields.at("address").get<std::string>(),
-          .mCallerPort = fields.at("caller_port").get<uint16_t>(),
-          .mPeerPort = fields.at("peer_port").get<uint16_t>(),
-          .mRelayPort = fields.at("relay_port").get<uint16_t>() });
-    }
-    for (auto& [zone, members] : zones) {
-      mFleet.mDirectory.SetZone(zone, 0, std::move(members));
-    }
-  }
-  auto current = co_await CallStore(
-    http::verb::get, "/v1/objects/configuration/current", std::string());
-  if (current && current.value().result() == http::status::ok) {
-    ApplyConfiguration(current.value().body());
+  if (mStopping) {
+    return;
   }
-  OnDirectoryChange();
+  mStopping = true;
+  Log(LogLevel::Info,
+      "stopping",
+      { { "busy_connections", mFrontend.Server().BusyConnections() } });
+  Spawn(mIo, StopLoop());
 }
 
-void EntryServer::ApplyConfiguration(const std::string& aText)
+Awaitable<bool> EntryServer::WaitUntil(std::function<bool()> aCondition,
+                                       TimePoint aLimit)
 {
-  auto read = InventoryReader::Read(aText);
-  if (!read) {
-    const Error& first = read.error().front();
-    Log(LogLevel::Error,
-        "configuration_refused",
-        { { "code", int(first.mCode) },
-          { "path", first.mPath },
-          { "detail", first.mDetail } });
-    return;
-  }
-  if (mFleet.mInventory &&
-      read.value().mGeneration <= mFleet.mInventory->mGeneration) {
-    return;
+  asio::steady_timer timer(mIo);
+  while (!aCondition()) {
+    if (SteadyNow() >= aLimit) {
+      co_return false;
+    }
+    timer.expires_after(kStopPoll);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
   }
-  mFleet.mInventory =
-    std::make_shared<const Inventory>(std::move(read.value()));
-  Log(LogLevel::Info,
-      "configuration_applied",
-      { { "generation", mFleet.mInventory->mGeneration } });
-  mFrontend.OnInventory();
+  co_return true;
 }
 
-void EntryServer::OnDirectoryChange()
+Awaitable<void> EntryServer::StopLoop()
 {
-  const auto inventory = mFleet.mInventory;
-  if (!inventory) {
-    return;
+  const TimePoint limit = SteadyNow() + mFleet.mSettings.mDrainTimeout;
+  // Peers see the leave in heartbeats, and new owners take over, while callers
+  // with an answer that names this instance are still served.
+  mFleet.mLeaving = true;
+  mTargets.GiveUpAll();
+  mMembership.BeginLeave();
+  const bool left = co_await WaitUntil([this] { return mMembership.IsEnded(); },
+                                       SteadyNow() + kLeaveTimeout);
+  if (!left) {
+    Log(LogLevel::Warn, "leave_unconfirmed", {});
   }
-  const TimePoint now = SteadyNow();
-  for (const auto& it : inventory->mTargets) {
-    const Place* place = inventory->FindPlace(it.mPlace);
-    const auto* owner =
-      mFleet.mDirectory.OwnerOf(place->mZone, it.mName.Text());
-    if (!owner || owner->mName != mFleet.mSelf.mName) {
-      continue;
-    }
-    const auto* service = inventory->FindService(it.mService);
-    const bool isNew =
-      mDispatcher.Slots().State(it.mName, now) == SlotState::NotOwned;
-    mDispatcher.Slots().SetTarget(
-      it.mName,
-      { .mSlots = it.mSlots,
-        .mConnections = it.mConnections,
-        .mState = std::max(it.mState, place->mState),
-        .mTimeout = service->mTimeout });
-    if (isNew) {
-      mDispatcher.Slots().TakeOverUnused(it.mName);
+  Duration ttl{};
+  if (mFleet.mInventory) {
+    for (const auto& it : mFleet.mInventory->mServices) {
+      ttl = std::max(ttl, it.mLookupTtl);
     }
   }
+  const TimePoint lastAnswerEnds = mFrontend.LastLookup() + ttl;
+  co_await WaitUntil([&] { return SteadyNow() >= lastAnswerEnds; }, limit);
+  mFrontend.Server().StopGracefully();
+  const bool drained = co_await WaitUntil(
+    [this] {
+      return mFrontend.Server().BusyConnections() == 0 &&
+             mRelayServer.Server().BusyConnections() == 0 &&
+             mHomes.OpenReports() == 0;
+    },
+    limit);
+  if (!drained) {
+    Log(LogLevel::Warn,
+        "drain_timeout",
+        { { "busy_connections", mFrontend.Server().BusyConnections() } });
+  }
+  mFrontend.Server().Abort();
+  mRelayServer.Server().Abort();
+  Log(LogLevel::Info, "stopped", {});
+  mIo.stop();
 }
 
 } // namespace pollenway
--- a/src/EntryServer.h
+++ b/src/EntryServer.h
@@ -3,9 +3,13 @@
 #include "BackendDispatcher.h"
 #include "CallerFrontend.h"
 #include "FleetState.h"
+#include "HomeService.h"
+#include "LimitService.h"
+#include "MembershipService.h"
+#include "PeerTransport.h"
 #include "RelayServer.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "StoreClient.h"
+#include "TargetMonitor.h"
 
 namespace pollenway {
 
@@ -18,26 +22,29 @@
   /// Binds all ports and starts. Fails if a port can't be bound.
   Result<void> Start();
   /// Graceful shutdown: leaves look-ups and the zone's view, lets requests in
-  /// flight finish, then lets the `io_context` run out of work.
+  /// flight finish, then stops the `io_context`.
   void Stop();
 
 private:
-  Awaitable<void> SyncLoop();
-  Awaitable<void> SyncOnce();
+  Awaitable<std::optional<PeerBody>> HandlePeer(PeerMessage aMessage);
+  Awaitable<void> LinkLoop();
   Awaitable<void> StopLoop();
-  Awaitable<Result<TextResponse>> CallStore(http::verb aVerb,
-                                            std::string aTarget,
-                                            std::string aBody);
-  void ApplyConfiguration(const std::string& aText);
-  void OnDirectoryChange();
+  Awaitable<bool> WaitUntil(std::function<bool()> aCondition, TimePoint aLimit);
+  void OnDirectory();
+  void OnObject(const StoreChange& aChange);
+  MembershipService::Callbacks MembershipCallbacks();
 
   asio::io_context& mIo;
   FleetState mFleet;
-  HttpClientPool mStorePool;
+  StoreClient mStore;
+  PeerTransport mTransport;
+  MembershipService mMembership;
+  LimitService mLimits;
+  HomeService mHomes;
   BackendDispatcher mDispatcher;
+  TargetMonitor mTargets;
   CallerFrontend mFrontend;
   RelayServer mRelayServer;
-  asio::steady_timer mSyncTimer;
   bool mStopping = false;
 };
 
--- a/src/HandoverAnswer.h
+++ b/src/HandoverAnswer.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <optional>
 
+#include <tuple>
+
 namespace pollenway {
 
 /// A zone member's answer to a new account owner of the given view: the
@@ -14,6 +16,11 @@
 {
   uint64_t mView = 0;
   std::optional<AccountState> mState{};
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mView, aSelf.mState);
+  }
 };
 
 } // namespace pollenway
--- a/src/HeaderNames.h
+++ b/src/HeaderNames.h
@@ -8,6 +8,8 @@
 constexpr char kRequestId[] = "Pollenway-Request-Id";
 constexpr char kDeadlineMs[] = "Pollenway-Deadline-Ms";
 constexpr char kNotRun[] = "Pollenway-Not-Run";
+/// In an answer: it is the stored answer of an earlier request.
+constexpr char kRepeated[] = "Pollenway-Repeated";
 constexpr char kIdempotencyKey[] = "Idempotency-Key";
 
 // Between instances only; removed from callers' requests.
--- a/src/HomeMember.h
+++ b/src/HomeMember.h
@@ -5,6 +5,8 @@
 #include <compare>
 #include <cstdint>
 
+#include <tuple>
+
 namespace pollenway {
 
 /// One run of an instance that takes part in keeping idempotency records. A
@@ -15,6 +17,11 @@
   uint64_t mIncarnation = 0;
 
   auto operator<=>(const HomeMember&) const = default;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mName, aSelf.mIncarnation);
+  }
 };
 
 } // namespace pollenway
--- a/src/HomeMessage.h
+++ b/src/HomeMessage.h
@@ -4,6 +4,7 @@
 #include "ResultCode.h"
 
 #include <optional>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -23,6 +24,11 @@
   RecordKey mKey;
   uint64_t mFingerprint = 0;
   AttemptId mAttempt;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mKey, aSelf.mFingerprint, aSelf.mAttempt);
+  }
 };
 
 struct RecordBeginReply
@@ -31,6 +37,11 @@
   BeginVerdict mVerdict = BeginVerdict::Refused;
   ResultCode mCode = ResultCode::HomeUnavailable;
   std::string mAnswer;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mAttempt, aSelf.mVerdict, aSelf.mCode, aSelf.mAnswer);
+  }
 };
 
 /// How an attempt ended.
@@ -50,11 +61,22 @@
   /// Empty also if too large to store.
   std::string mAnswer;
   bool mHasAnswer = false;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mKey,
+                    aSelf.mAttempt,
+                    aSelf.mEnding,
+                    aSelf.mAnswer,
+                    aSelf.mHasAnswer);
+  }
 };
 
 struct RecordEndReply
 {
   AttemptId mAttempt;
+
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mAttempt); }
 };
 
 /// Partition, its number of moves and the view in which a message is valid.
@@ -65,6 +87,11 @@
   uint64_t mView = 0;
 
   auto operator<=>(const HomeScope&) const = default;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mPartition, aSelf.mMoves, aSelf.mView);
+  }
 };
 
 /// Primary → backup: write a record.
@@ -72,6 +99,11 @@
 {
   HomeScope mScope;
   RecordCopy mRecord;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mScope, aSelf.mRecord);
+  }
 };
 
 struct RecordPutReply
@@ -80,6 +112,11 @@
   RecordKey mKey;
   uint64_t mVersion = 0;
   bool mAccepted = false;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mScope, aSelf.mKey, aSelf.mVersion, aSelf.mAccepted);
+  }
 };
 
 /// New primary → home of an earlier view: act in no view before `mScope.mView`
@@ -89,6 +126,11 @@
   HomeScope mScope;
   bool mWantRecords = false;
   std::optional<RecordKey> mAfter;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mScope, aSelf.mWantRecords, aSelf.mAfter);
+  }
 };
 
 struct RecordCollectReply
@@ -105,6 +147,19 @@
   /// Time for which all keys are answered as unknown; none if zero.
   Duration mQuiet{};
   uint64_t mNextVersion = 1;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mScope,
+                    aSelf.mPromised,
+                    aSelf.mCompleted,
+                    aSelf.mHasRecords,
+                    aSelf.mAfter,
+                    aSelf.mRecords,
+                    aSelf.mMore,
+                    aSelf.mQuiet,
+                    aSelf.mNextVersion);
+  }
 };
 
 /// New primary → backup: one page of the partition's records.
@@ -115,6 +170,12 @@
   bool mLast = false;
   std::vector<RecordCopy> mRecords;
   Duration mQuiet{};
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(
+      aSelf.mScope, aSelf.mPage, aSelf.mLast, aSelf.mRecords, aSelf.mQuiet);
+  }
 };
 
 struct RecordSyncReply
@@ -122,6 +183,11 @@
   HomeScope mScope;
   unsigned mPage = 0;
   bool mAccepted = false;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mScope, aSelf.mPage, aSelf.mAccepted);
+  }
 };
 
 using HomeMessage = std::variant<RecordBegin,
--- /dev/null
+++ b/src/HomeService.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "HomeDirectory.h"
+#include "IdempotencyTable.h"
+#include "MembershipService.h"
+#include "ProtectedRequest.h"
+
+#include <map>
+#include <memory>
+
+namespace pollenway {
+
+/// At-most-once execution over the fleet: keeps the idempotency records whose
+/// home this instance is, and asks the homes of the keys of its callers.
+class HomeService
+{
+public:
+  /// One request with an idempotency key that this instance received.
+  struct Protected;
+
+  HomeService(asio::any_io_executor aExecutor,
+              FleetState& aFleet,
+              StoreClient& aStore,
+              PeerTransport& aTransport,
+              MembershipService& aMembership);
+  ~HomeService();
+
+  void Start();
+  void Stop();
+  void UpdateDirectory();
+  /// The store object `homemap/current`.
+  void OnHomeMap(const std::string& aValue);
+  void HandleMessage(const PeerMessage& aMessage);
+  /// This process joined its zone as a new run: its records are void.
+  void OnRejoin();
+
+  /// Asks the key's home until it answers or the deadline passes.
+  Awaitable<ProtectedRequest::Step> Begin(std::shared_ptr<Protected> aRequest,
+                                          TimePoint aDeadline);
+  std::shared_ptr<Protected> Make(RecordKey aKey, uint64_t aFingerprint);
+  /// True once, if the request may be sent to a backend server now.
+  bool TryStart(Protected& aRequest);
+  /// Reports the end to the home, repeatedly, without waiting for it.
+  void End(std::shared_ptr<Protected> aRequest,
+           RecordEnding aEnding,
+           std::string aAnswer);
+  ResultCode RefusalOf(const Protected& aRequest) const;
+  const std::string& AnswerOf(const Protected& aRequest) const;
+
+  const IdempotencyTable& Table() const { return *mTable; }
+  const HomeDirectory& Directory() const { return mDirectory; }
+  /// Ends that homes have not acknowledged yet; a graceful shutdown waits for
+  /// them.
+  size_t OpenReports() const { return mOpenReports; }
+
+private:
+  Awaitable<void> TickLoop();
+  Awaitable<void> ReadHomeMap();
+  Awaitable<void> ReportEnd(std::shared_ptr<Protected> aRequest);
+  Awaitable<void> Wait(asio::steady_timer& aTimer, Duration aTime);
+  void SendAction(const HomeAction& aAction);
+  void Flush();
+  void Deliver(const HomeMember& aFrom, const HomeMessage& aMessage);
+  HomeMember Self() const;
+
+  asio::any_io_executor mExecutor;
+  FleetState& mFleet;
+  StoreClient& mStore;
+  PeerTransport& mTransport;
+  MembershipService& mMembership;
+  IdempotencyOptions mOptions;
+  HomeDirectory mDirectory;
+  std::unique_ptr<IdempotencyTable> mTable;
+  std::map<uint64_t, std::weak_ptr<Protected>> mRequests;
+  asio::steady_timer mTimer;
+  uint64_t mNextAttempt = 1;
+  size_t mOpenReports = 0;
+  bool mReadingMap = false;
+  bool mFlushing = false;
+  bool mStopping = false;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/LimitService.cpp
@@ -0,0 +1,463 @@
+#include "LimitService.h"
+
+#include "Logger.h"
+#include "Spawn.h"
+#include "SteadyTime.h"
+
+namespace pollenway {
+
+namespace {
+
+constexpr auto kTimerInterval = std::chrono::milliseconds(100);
+/// Longest wait for an owner, which may in turn ask other zones' owners.
+constexpr auto kAdmitTimeout = std::chrono::milliseconds(600);
+constexpr auto kHandoverTimeout = std::chrono::milliseconds(90);
+constexpr double kZoneLatencyMs = 0.5;
+
+constexpr char kAllotmentKind[] = "allotment";
+
+AdmitReply Unavailable(const AdmitRequest& aRequest)
+{
+  AdmitReply reply;
+  reply.mId = aRequest.mId;
+  reply.mZone = aRequest.mZone;
+  reply.mCode = ResultCode::LimitOwnerUnavailable;
+  return reply;
+}
+
+} // namespace
+
+struct LimitService::Account
+{
+  std::unique_ptr<AccountClient> mClient;
+  /// Answers only while this instance owns the account in its zone.
+  std::unique_ptr<AccountHolder> mHolder;
+  InstanceName mOwner;
+  /// Last view of the zone in which this instance is the owner.
+  uint64_t mView = 0;
+  bool mReading = false;
+  bool mWriting = false;
+};
+
+struct LimitService::Waiter
+{
+  Waiter(asio::any_io_executor aExecutor, Duration aTimeout)
+    : mTimer(aExecutor, aTimeout)
+  {
+  }
+
+  asio::steady_timer mTimer;
+  std::optional<AdmitReply> mReply;
+};
+
+LimitService::LimitService(asio::any_io_executor aExecutor,
+                           FleetState& aFleet,
+                           StoreClient& aStore,
+                           PeerTransport& aTransport,
+                           MembershipService& aMembership)
+  : mExecutor(aExecutor)
+  , mFleet(aFleet)
+  , mStore(aStore)
+  , mTransport(aTransport)
+  , mMembership(aMembership)
+  , mTimer(aExecutor)
+{
+}
+
+LimitService::~LimitService() = default;
+
+void LimitService::Start()
+{
+  Spawn(mExecutor, TimerLoop());
+}
+
+void LimitService::Stop()
+{
+  mStopping = true;
+  mTimer.cancel();
+}
+
+const InstanceInfo* LimitService::OwnerIn(const ZoneName& aZone,
+                                          const WorkspaceName& aWorkspace) const
+{
+  return mFleet.mDirectory.OwnerOf(aZone, "account/" + aWorkspace.Text());
+}
+
+std::vector<AccountHolder::Peer> LimitService::OtherZones() const
+{
+  std::vector<AccountHolder::Peer> out;
+  const auto& inventory = *mFleet.mInventory;
+  const Region* own = inventory.RegionOfZone(mFleet.mSelf.mZone);
+  for (const auto& region : inventory.mRegions) {
+    const double ms =
+      own ? std::max(kZoneLatencyMs,
+                     inventory.LatencyMs(own->mName, region.mName))
+          : kZoneLatencyMs;
+    for (const auto& zone : region.mZones) {
+      if (zone != mFleet.mSelf.mZone) {
+        out.push_back({ zone, FromSeconds(ms / 1000) });
+      }
+    }
+  }
+  return out;
+}
+
+void LimitService::OnInventory()
+{
+  const auto& inventory = *mFleet.mInventory;
+  for (const auto& it : inventory.mWorkspaces) {
+    auto& account = mAccounts[it.mName];
+    if (!account.mClient) {
+      account.mClient = std::make_unique<AccountClient>(
+        mFleet.mSelf.mName, mFleet.mSelf.mZone, AccountClient::Options{});
+      account.mHolder =
+        std::make_unique<AccountHolder>(mFleet.mSelf.mName,
+                                        mFleet.mSelf.mZone,
+                                        OtherZones(),
+                                        AccountHolder::Options{});
+    }
+    account.mHolder->SetTotal(
+      inventory.mGeneration, it.mRate, it.mBurst, SteadyNow());
+  }
+  std::erase_if(mAccounts, [&](const auto& aEntry) {
+    return inventory.FindWorkspace(aEntry.first) == nullptr;
+  });
+  UpdateOwners();
+}
+
+void LimitService::OnRejoin()
+{
+  mAccounts.clear();
+  if (mFleet.mInventory) {
+    OnInventory();
+  }
+}
+
+void LimitService::UpdateOwners()
+{
+  for (auto& [workspace, account] : mAccounts) {
+    UpdateOwner(workspace, account);
+  }
+}
+
+void LimitService::UpdateOwner(const WorkspaceName& aWorkspace,
+                               Account& aAccount)
+{
+  const ZoneName& zone = mFleet.mSelf.mZone;
+  const InstanceInfo* owner = OwnerIn(zone, aWorkspace);
+  const InstanceName name = owner ? owner->mName : InstanceName();
+  if (name != aAccount.mOwner) {
+    aAccount.mOwner = name;
+    aAccount.mClient->OnOwnerChange();
+  }
+  const uint64_t view = mFleet.mDirectory.ViewNumber(zone);
+  const bool isOwn = owner && name == mFleet.mSelf.mName &&
+                     owner->mIncarnation == mFleet.mSelf.mIncarnation;
+  if (!isOwn || view <= aAccount.mView) {
+    return;
+  }
+  aAccount.mView = view;
+  std::vector<InstanceName> others;
+  for (const auto& it : mFleet.mDirectory.Members(zone)) {
+    if (it.mName != mFleet.mSelf.mName) {
+      others.push_back(it.mName);
+    }
+  }
+  aAccount.mHolder->BeginTakeover(view, std::move(others), SteadyNow());
+}
+
+void LimitService::AskForHandovers(const WorkspaceName& aWorkspace,
+                                   const Account& aAccount)
+{
+  for (const auto& it : aAccount.mHolder->Unanswered()) {
+    const auto* info = mFleet.mDirectory.Find(it);
+    if (info) {
+      Spawn(mExecutor, AskForHandover(aWorkspace, aAccount.mView, *info));
+    }
+  }
+}
+
+Awaitable<void> LimitService::AskForHandover(WorkspaceName aWorkspace,
+                                             uint64_t aView,
+                                             InstanceInfo aFrom)
+{
+  peer::AccountHandover body;
+  body.mWorkspace = aWorkspace;
+  body.mViewNumber = aView;
+  const IpEndpoint endpoint{ aFrom.mAddress, aFrom.mPeerPort };
+  auto reply = co_await mTransport.Call(
+    endpoint, aFrom.mIncarnation, std::move(body), kHandoverTimeout);
+  auto it = mAccounts.find(aWorkspace);
+  if (!reply || it == mAccounts.end()) {
+    co_return;
+  }
+  const auto* answer =
+    std::get_if<peer::AccountHandoverReply>(&reply.value().mBody);
+  if (answer && answer->mAnswer) {
+    it->second.mHolder->OnHandoverAnswer(
+      aFrom.mName, *answer->mAnswer, SteadyNow());
+  }
+}
+
+std::optional<PeerBody> LimitService::HandleHandover(
+  const peer::AccountHandover& aRequest)
+{
+  peer::AccountHandoverReply answer;
+  const auto it = mAccounts.find(aRequest.mWorkspace);
+  if (it == mAccounts.end()) {
+    // Without a configuration this instance has never held the account.
+    return std::nullopt;
+  }
+  AccountHolder::Actions actions;
+  answer.mAnswer =
+    it->second.mHolder->HandOver(aRequest.mViewNumber, SteadyNow(), actions);
+  Carry(aRequest.mWorkspace, std::move(actions));
+  return answer;
+}
+
+Awaitable<void> LimitService::TimerLoop()
+{
+  while (!mStopping) {
+    const TimePoint now = SteadyNow();
+    const bool valid = mMembership.MayUse();
+    UpdateOwners();
+    for (auto& [workspace, account] : mAccounts) {
+      account.mClient->OnTimer(now);
+      AskForHandovers(workspace, account);
+      Carry(workspace, account.mHolder->OnTimer(now, valid));
+      const auto serial = account.mHolder->NeededRead();
+      if (serial && !account.mReading && mStore.RetryPause() == Duration(0)) {
+        account.mReading = true;
+        Spawn(mExecutor, ReadAllotment(workspace, *serial));
+      }
+      if (!account.mWriting) {
+        auto write = account.mHolder->NextWrite(now, valid);
+        if (write) {
+          account.mWriting = true;
+          Spawn(mExecutor, WriteAllotment(workspace, std::move(*write)));
+        }
+      }
+    }
+    mTimer.expires_after(kTimerInterval);
+    ErrorCode ec;
+    co_await mTimer.async_wait(Into(ec));
+  }
+}
+
+Awaitable<void> LimitService::ReadAllotment(WorkspaceName aWorkspace,
+                                            uint64_t aSerial)
+{
+  auto object = co_await mStore.Get(kAllotmentKind, aWorkspace.Text());
+  auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end()) {
+    co_return;
+  }
+  it->second.mReading = false;
+  if (!object && object.error().mCode != ResultCode::NotFound) {
+    co_return;
+  }
+  std::optional<Allotment> read;
+  if (object) {
+    auto parsed = Allotment::Parse(object.value().mValue);
+    if (!parsed) {
+      Log(LogLevel::Error,
+          "allotment_refused",
+          { { "workspace", aWorkspace.Text() },
+            { "detail", parsed.error().mDetail } });
+      co_return;
+    }
+    read = std::move(parsed.value());
+  }
+  it->second.mHolder->OnStoreRead(aSerial, read, SteadyNow());
+}
+
+Awaitable<void> LimitService::WriteAllotment(WorkspaceName aWorkspace,
+                                             AllotmentWrite aWrite)
+{
+  // The allotment's own version is the base; the store's object version that
+  // holds it is looked up first.
+  StoreCondition condition = StoreCondition::Absent();
+  MoveOutcome outcome = MoveOutcome::Conflict;
+  bool send = true;
+  if (aWrite.mBaseVersion != 0) {
+    auto object = co_await mStore.Get(kAllotmentKind, aWorkspace.Text());
+    send = false;
+    if (object) {
+      auto parsed = Allotment::Parse(object.value().mValue);
+      send = parsed && parsed.value().Version() == aWrite.mBaseVersion;
+      condition = StoreCondition::AtVersion(object.value().mVersion);
+    }
+  }
+  if (send) {
+    const StoreWrite write = co_await mStore.Put(
+      kAllotmentKind, aWorkspace.Text(), aWrite.mValue.ToJson(), condition);
+    if (write.IsDone()) {
+      outcome = MoveOutcome::Committed;
+    } else if (write.mOutcome != WriteOutcome::Conflict &&
+               write.mOutcome != WriteOutcome::NotDone) {
+      outcome = MoveOutcome::Unknown;
+    }
+  }
+  auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end()) {
+    co_return;
+  }
+  it->second.mWriting = false;
+  it->second.mHolder->OnWriteResult(aWrite.mSerial, outcome, SteadyNow());
+}
+
+void LimitService::OnAllotment(const std::string& aWorkspace,
+                               const std::string& aValue)
+{
+  auto it = mAccounts.find(WorkspaceName(aWorkspace));
+  auto parsed = Allotment::Parse(aValue);
+  if (it != mAccounts.end() && parsed) {
+    it->second.mHolder->OnCommitted(parsed.value(), SteadyNow());
+  }
+}
+
+void LimitService::Carry(const WorkspaceName& aWorkspace,
+                         AccountHolder::Actions aActions)
+{
+  for (auto& it : aActions.mReplies) {
+    const auto waiter =
+      mWaiters.find({ aWorkspace, it.mTo, it.mToOwner, it.mReply.mId });
+    if (waiter != mWaiters.end()) {
+      waiter->second->mReply = std::move(it.mReply);
+      waiter->second->mTimer.cancel();
+    }
+  }
+  for (auto& it : aActions.mAsks) {
+    Spawn(mExecutor, AskZone(aWorkspace, std::move(it)));
+  }
+}
+
+Awaitable<void> LimitService::AskZone(WorkspaceName aWorkspace,
+                                      AccountHolder::AskAction aAsk)
+{
+  const ZoneName zone = aAsk.mTo;
+  const AdmitReply reply =
+    co_await AskOwner(aWorkspace, zone, std::move(aAsk.mRequest));
+  auto it = mAccounts.find(aWorkspace);
+  if (it != mAccounts.end()) {
+    Carry(
+      aWorkspace,
+      it->second.mHolder->OnReply(reply, SteadyNow(), mMembership.MayUse()));
+  }
+}
+
+Awaitable<AdmitReply> LimitService::AskOwner(WorkspaceName aWorkspace,
+                                             ZoneName aZone,
+                                             AdmitRequest aRequest)
+{
+  const InstanceInfo* owner = OwnerIn(aZone, aWorkspace);
+  if (!owner) {
+    co_return Unavailable(aRequest);
+  }
+  if (owner->mName == mFleet.mSelf.mName) {
+    AdmitReply own = co_await AskHolder(aWorkspace, std::move(aRequest));
+    co_return own;
+  }
+  const AdmitReply fallback = Unavailable(aRequest);
+  const IpEndpoint endpoint{ owner->mAddress, owner->mPeerPort };
+  const Incarnation incarnation = owner->mIncarnation;
+  peer::Admit body;
+  body.mWorkspace = aWorkspace;
+  body.mViewNumber = mFleet.mDirectory.ViewNumber(aZone);
+  body.mRequest = std::move(aRequest);
+  ++mCounts.mMessages;
+  auto reply = co_await mTransport.Call(
+    endpoint, incarnation, std::move(body), kAdmitTimeout);
+  if (!reply) {
+    co_return fallback;
+  }
+  ++mCounts.mMessages;
+  const auto* answer = std::get_if<peer::AdmitReply>(&reply.value().mBody);
+  co_return answer && answer->mCode == ResultCode::Ok ? answer->mReply
+                                                      : fallback;
+}
+
+Awaitable<AdmitReply> LimitService::AskHolder(WorkspaceName aWorkspace,
+                                              AdmitRequest aRequest)
+{
+  auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end() || !it->second.mHolder->IsActive()) {
+    co_return Unavailable(aRequest);
+  }
+  const ReplyKey key{
+    aWorkspace, aRequest.mFrom, aRequest.mFromOwner, aRequest.mId
+  };
+  auto waiter = std::make_shared<Waiter>(mExecutor, kAdmitTimeout);
+  mWaiters[key] = waiter;
+  Carry(aWorkspace,
+        it->second.mHolder->Admit(aRequest, SteadyNow(), mMembership.MayUse()));
+  if (!waiter->mReply) {
+    ErrorCode ec;
+    co_await waiter->mTimer.async_wait(Into(ec));
+  }
+  mWaiters.erase(key);
+  co_return waiter->mReply ? *waiter->mReply : Unavailable(aRequest);
+}
+
+Awaitable<std::optional<PeerBody>> LimitService::HandleAdmit(
+  PeerMessage aMessage)
+{
+  const auto& body = std::get<peer::Admit>(aMessage.mBody);
+  peer::AdmitReply answer;
+  answer.mViewNumber = mFleet.mDirectory.ViewNumber(mFleet.mSelf.mZone);
+  const auto it = mAccounts.find(body.mWorkspace);
+  if (it == mAccounts.end() || !it->second.mHolder->IsActive()) {
+    answer.mCode = ResultCode::StaleView;
+  } else {
+    answer.mReply = co_await AskHolder(body.mWorkspace, body.mRequest);
+  }
+  std::optional<PeerBody> out(std::move(answer));
+  co_return out;
+}
+
+Awaitable<LimitService::Decision> LimitService::Admit(WorkspaceName aWorkspace)
+{
+  Decision out;
+  auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end()) {
+    co_return out;
+  }
+  auto decision = it->second.mClient->Admit(SteadyNow());
+  if (decision.mVerdict == AccountClient::Verdict::Ask) {
+    const AdmitReply reply =
+      co_await AskOwner(aWorkspace, decision.mTo, std::move(decision.mRequest));
+    it = mAccounts.find(aWorkspace);
+    if (it == mAccounts.end()) {
+      co_return out;
+    }
+    decision = it->second.mClient->OnReply(reply, SteadyNow());
+  }
+  if (decision.mVerdict == AccountClient::Verdict::Granted) {
+    ++mCounts.mAdmitted;
+    out.mCode = ResultCode::Ok;
+  } else if (decision.mVerdict == AccountClient::Verdict::Refused) {
+    ++mCounts.mRefused;
+    out.mCode = decision.mCode;
+    out.mRetryAfter = decision.mRetryAfter;
+  }
+  co_return out;
+}
+
+std::vector<LimitService::AccountSummary> LimitService::Accounts()
+{
+  std::vector<AccountSummary> out;
+  const TimePoint now = SteadyNow();
+  for (auto& [workspace, account] : mAccounts) {
+    AccountSummary summary{ .mWorkspace = workspace, .mOwner = account.mOwner };
+    if (account.mHolder->IsActive()) {
+      summary.mIsOwner = true;
+      summary.mTokens = account.mHolder->Tokens(now);
+      summary.mDemand = account.mHolder->Demand(now);
+      summary.mFraction = account.mHolder->Balancer().UsableFraction();
+    }
+    out.push_back(std::move(summary));
+  }
+  return out;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/LimitService.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "AccountClient.h"
+#include "AccountHolder.h"
+#include "MembershipService.h"
+
+#include <map>
+#include <memory>
+
+namespace pollenway {
+
+/// Admits requests under the workspaces' fleet-wide rates: runs the accounts
+/// that this instance owns in its zone, and asks the owners of the others.
+class LimitService
+{
+public:
+  struct Decision
+  {
+    /// Ok, RateExceeded or LimitOwnerUnavailable.
+    ResultCode mCode = ResultCode::LimitOwnerUnavailable;
+    Duration mRetryAfter{};
+  };
+
+  struct Counts
+  {
+    uint64_t mAdmitted = 0;
+    uint64_t mRefused = 0;
+    /// Requests and replies between instances.
+    uint64_t mMessages = 0;
+  };
+
+  LimitService(asio::any_io_executor aExecutor,
+               FleetState& aFleet,
+               StoreClient& aStore,
+               PeerTransport& aTransport,
+               MembershipService& aMembership);
+  ~LimitService();
+
+  void Start();
+  void Stop();
+
+  /// Takes one token of the workspace's fleet-wide rate.
+  Awaitable<Decision> Admit(WorkspaceName aWorkspace);
+
+  /// A peer's `Admit`.
+  Awaitable<std::optional<PeerBody>> HandleAdmit(PeerMessage aMessage);
+  /// A new owner's question; stops this instance's use of the account.
+  std::optional<PeerBody> HandleHandover(const peer::AccountHandover& aRequest);
+
+  void OnInventory();
+  /// This process joined its zone as a new run: its accounts are void.
+  void OnRejoin();
+  /// Call when the members of a zone changed: owners may be others.
+  void UpdateOwners();
+  /// A change of an `allotment` object in the store.
+  void OnAllotment(const std::string& aWorkspace, const std::string& aValue);
+
+  const Counts& GetCounts() const { return mCounts; }
+
+  /// State of one account, for the state dump.
+  struct AccountSummary
+  {
+    WorkspaceName mWorkspace;
+    InstanceName mOwner;
+    bool mIsOwner = false;
+    double mTokens = 0;
+    double mDemand = 0;
+    uint32_t mFraction = 0;
+  };
+  std::vector<AccountSummary> Accounts();
+
+private:
+  struct Account;
+  struct Waiter;
+  /// A request as the answering owner knows it.
+  struct ReplyKey
+  {
+    WorkspaceName mWorkspace;
+    InstanceName mFrom;
+    bool mFromOwner = false;
+    uint64_t mId = 0;
+
+    auto operator<=>(const ReplyKey&) const = default;
+  };
+
+  Awaitable<void> TimerLoop();
+  Awaitable<AdmitReply> AskOwner(WorkspaceName aWorkspace,
+                                 ZoneName aZone,
+                                 AdmitRequest aRequest);
+  Awaitable<AdmitReply> AskHolder(WorkspaceName aWorkspace,
+                                  AdmitRequest aRequest);
+  Awaitable<void> AskZone(WorkspaceName aWorkspace,
+                          AccountHolder::AskAction aAsk);
+  Awaitable<void> ReadAllotment(WorkspaceName aWorkspace, uint64_t aSerial);
+  Awaitable<void> WriteAllotment(WorkspaceName aWorkspace,
+                                 AllotmentWrite aWrite);
+  void Carry(const WorkspaceName& aWorkspace, AccountHolder::Actions aActions);
+  void AskForHandovers(const WorkspaceName& aWorkspace,
+                       const Account& aAccount);
+  Awaitable<void> AskForHandover(WorkspaceName aWorkspace,
+                                 uint64_t aView,
+                                 InstanceInfo aFrom);
+  void UpdateOwner(const WorkspaceName& aWorkspace, Account& aAccount);
+  const InstanceInfo* OwnerIn(const ZoneName& aZone,
+                              const WorkspaceName& aWorkspace) const;
+  std::vector<AccountHolder::Peer> OtherZones() const;
+
+  asio::any_io_executor mExecutor;
+  FleetState& mFleet;
+  StoreClient& mStore;
+  PeerTransport& mTransport;
+  MembershipService& mMembership;
+  std::map<WorkspaceName, Account> mAccounts;
+  std::map<ReplyKey, std::shared_ptr<Waiter>> mWaiters;
+  asio::steady_timer mTimer;
+  Counts mCounts;
+  bool mStopping = false;
+};
+
+} // namespace pollenway
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -142,9 +142,9 @@
   mTable.SetLoads(std::move(aLoads));
 }
 
-void MembershipService::SetCompletedView(uint64_t aNumber)
+void MembershipService::OnReleased(const InstanceName& aInstance)
 {
-  mTable.Zone().SetCompletedView(aNumber);
+  mTable.OnTerminated(aInstance);
 }
 
 Awaitable<void> MembershipService::Pause(Duration aTime)
@@ -286,6 +286,7 @@
   mFleet.mSelf.mIncarnation = incarnation;
   mTransport.SetIncarnation(incarnation);
   mTable.Rejoin(SteadyNow(), incarnation);
+  mCallbacks.mOnRejoin();
   mCallbacks.mOnDirectory();
 }
 
--- a/src/MembershipService.h
+++ b/src/MembershipService.h
@@ -28,6 +28,9 @@
     std::function<void()> mOnDirectory;
     /// Another object of the store changed (allotments, home map, releases).
     std::function<void(const StoreChange&)> mOnObject;
+    /// This process lost its place in the view and joins as a new run: all
+    /// that it owned is void.
+    std::function<void()> mOnRejoin;
   };
 
   MembershipService(asio::any_io_executor aExecutor,
@@ -56,7 +59,8 @@
   /// Do all members of the zone act by this instance's view?
   bool IsSettled() const;
   void SetLoads(std::vector<peer::LoadSummary> aLoads);
-  void SetCompletedView(uint64_t aNumber);
+  /// An operator states that the instance's process has ended.
+  void OnReleased(const InstanceName& aInstance);
 
   const MembershipTable& Table() const { return mTable; }
   const ConfigurationTracker& Configuration() const { return mConfiguration; }
--- a/src/PeerBodies.h
+++ b/src/PeerBodies.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "AdmitMessage.h"
+#include "HandoverAnswer.h"
+#include "HomeMessage.h"
 #include "Ids.h"
 #include "ResultCode.h"
 
@@ -211,6 +213,25 @@
   }
 };
 
+/// The owner of a workspace's account in the view asks the other members of
+/// its zone to stop and to hand over what they hold.
+struct AccountHandover
+{
+  WorkspaceName mWorkspace;
+  uint64_t mViewNumber = 0;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mWorkspace, aSelf.mViewNumber);
+  }
+};
+
+struct AccountHandoverReply
+{
+  /// Nothing if the receiver has seen a later view.
+  std::optional<HandoverAnswer> mAnswer;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mAnswer); }
+};
+
 /// A write that the sender's watch of the store reported; for the members of
 /// its own zone, so that one watch serves them all.
 struct ObjectChanged
@@ -251,119 +272,12 @@
   }
 };
 
-/// Progress of a request with an idempotency key.
-enum class RecordState : uint8_t
-{
-  InProgress,
-  Answered,
-  RanAnswerLost,
-  OutcomeUnknown,
-  NotRun,
-};
-
-/// Record of a request with an idempotency key.
-struct Record
-{
-  WorkspaceName mWorkspace;
-  std::string mKey;
-  /// Hash of method, path and body length.
-  uint64_t mFingerprint = 0;
-  RecordState mState = RecordState::InProgress;
-  /// Age of the record when the message was sent.
-  uint32_t mAgeMs = 0;
-  uint16_t mAnswerStatus = 0;
-  std::string mAnswerContentType;
-  std::string mAnswerBody;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(aSelf.mWorkspace,
-                    aSelf.mKey,
-                    aSelf.mFingerprint,
-                    aSelf.mState,
-                    aSelf.mAgeMs,
-                    aSelf.mAnswerStatus,
-                    aSelf.mAnswerContentType,
-                    aSelf.mAnswerBody);
-  }
-};
-
-/// The primary writes a record to the backup.
-struct RecordPut
-{
-  uint16_t mPartition = 0;
-  uint64_t mViewNumber = 0;
-  Record mRecord;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(aSelf.mPartition, aSelf.mViewNumber, aSelf.mRecord);
-  }
-};
-
-struct RecordPutReply
-{
-  ResultCode mCode = ResultCode::Ok;
-  uint64_t mViewNumber = 0;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(aSelf.mCode, aSelf.mViewNumber);
-  }
-};
-
-struct RecordGet
-{
-  uint16_t mPartition = 0;
-  uint64_t mViewNumber = 0;
-  WorkspaceName mWorkspace;
-  std::string mKey;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(
-      aSelf.mPartition, aSelf.mViewNumber, aSelf.mWorkspace, aSelf.mKey);
-  }
-};
-
-struct RecordGetReply
-{
-  ResultCode mCode = ResultCode::Ok;
-  uint64_t mViewNumber = 0;
-  std::optional<Record> mRecord;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(aSelf.mCode, aSelf.mViewNumber, aSelf.mRecord);
-  }
-};
-
-/// The primary of a new view collects a partition's records. The receiver
-/// refuses requests of lower views from then on.
-struct RecordCollect
+/// A message between the homes of idempotency records, or between a home and
+/// the instance that received a request.
+struct Home
 {
-  uint16_t mPartition = 0;
-  /// The new view.
-  uint64_t mViewNumber = 0;
-  /// The view whose primary or backup the receiver was.
-  uint64_t mFromViewNumber = 0;
-  /// 0 for the first page, then the previous reply's `mNextPage`.
-  uint64_t mPage = 0;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(
-      aSelf.mPartition, aSelf.mViewNumber, aSelf.mFromViewNumber, aSelf.mPage);
-  }
-};
-
-struct RecordCollectReply
-{
-  ResultCode mCode = ResultCode::Ok;
-  /// Last view for which the replier completed its own collection.
-  uint64_t mCompletedView = 0;
-  std::vector<Record> mRecords;
-  /// 0 if this is the last page.
-  uint64_t mNextPage = 0;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(
-      aSelf.mCode, aSelf.mCompletedView, aSelf.mRecords, aSelf.mNextPage);
-  }
+  HomeMessage mMessage;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mMessage); }
 };
 
 /// Asks a grantor to refuse a member from now on.
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -25,15 +25,12 @@
   "Withdrawals",
   "Admit",
   "AdmitReply",
+  "AccountHandover",
+  "AccountHandoverReply",
   "ObjectChanged",
   "SlotHandover",
   "SlotHandoverReply",
-  "RecordPut",
-  "RecordPutReply",
-  "RecordGet",
-  "RecordGetReply",
-  "RecordCollect",
-  "RecordCollectReply",
+  "Home",
   "EvictConfirm",
   "EvictConfirmReply",
   "Leaving",
@@ -89,6 +86,14 @@
 {
 };
 template<typename T>
+struct IsVariant : std::false_type
+{
+};
+template<typename... Ts>
+struct IsVariant<std::variant<Ts...>> : std::true_type
+{
+};
+template<typename T>
 struct IsId : std::false_type
 {
 };
@@ -124,6 +129,12 @@
     } else {
       aOut.pack_nil();
     }
+  } else if constexpr (std::is_same_v<T, Allotment>) {
+    PackText(aOut, aValue.ToJson());
+  } else if constexpr (IsVariant<T>::value) {
+    aOut.pack_array(2);
+    aOut.pack(uint64_t(aValue.index()));
+    std::visit([&](const auto& aIt) { Pack(aOut, aIt); }, aValue);
   } else if constexpr (IsId<T>::value) {
     PackText(aOut, aValue.Text());
   } else if constexpr (std::is_same_v<T, std::string>) {
@@ -131,7 +142,7 @@
   } else if constexpr (std::is_same_v<T, Duration>) {
     aOut.pack(uint64_t(std::max<Duration::rep>(0, aValue.count())));
   } else if constexpr (std::is_enum_v<T>) {
-    aOut.pack(std::underlying_type_t<T>(aValue));
+    aOut.pack(uint64_t(aValue));
   } else {
     static_assert(std::is_arithmetic_v<T>);
     aOut.pack(aValue);
@@ -164,6 +175,38 @@
     fields);
 }
 
+template<size_t Index, typename... Ts>
+bool UnpackVariantAt(uint64_t aIndex,
+                     const msgpack::object& aIn,
+                     std::variant<Ts...>& aValue)
+{
+  if constexpr (Index == sizeof...(Ts)) {
+    return false;
+  } else if (aIndex == Index) {
+    return Unpack(aIn, aValue.template emplace<Index>());
+  } else {
+    return UnpackVariantAt<Index + 1>(aIndex, aIn, aValue);
+  }
+}
+
+// Highest valid values of the enumerations that messages carry.
+constexpr BeginVerdict HighestOf(BeginVerdict)
+{
+  return BeginVerdict::Refused;
+}
+constexpr RecordEnding HighestOf(RecordEnding)
+{
+  return RecordEnding::NotRun;
+}
+constexpr RecordState HighestOf(RecordState)
+{
+  return RecordState::NotRun;
+}
+constexpr ResultCode HighestOf(ResultCode)
+{
+  return ResultCode::InternalError;
+}
+
 template<typename T>
 bool Unpack(const msgpack::object& aIn, T& aValue)
 {
@@ -196,11 +239,27 @@
     aValue = aIn.via.boolean;
     return aIn.type == msgpack::type::BOOLEAN;
   } else if constexpr (std::is_same_v<T, double>) {
-    if (aIn.type != msgpack::type::FLOAT64) {
+    // The library packs whole numbers as integers.
+    if (aIn.type == msgpack::type::POSITIVE_INTEGER) {
+      aValue = double(aIn.via.u64);
+    } else if (aIn.type == msgpack::type::NEGATIVE_INTEGER) {
+      aValue = double(aIn.via.i64);
+    } else if (aIn.type == msgpack::type::FLOAT64) {
+      aValue = aIn.via.f64;
+    } else {
       return false;
     }
-    aValue = aIn.via.f64;
     return std::isfinite(aValue);
+  } else if constexpr (std::is_same_v<T, Allotment>) {
+    std::string text;
+    if (!UnpackText(aIn, text)) {
+      return false;
+    }
+    auto parsed = Allotment::Parse(text);
+    if (parsed) {
+      aValue = std::move(parsed.value());
+    }
+    return parsed.has_value();
   } else if constexpr (std::is_same_v<T, Duration>) {
     uint64_t n = 0;
     if (!Unpack(aIn, n) || n > uint64_t(kMaxDuration.count())) {
@@ -208,18 +267,20 @@
     }
     aValue = Duration(Duration::rep(n));
     return true;
-  } else if constexpr (std::is_same_v<T, peer::RecordState>) {
-    if (aIn.type != msgpack::type::POSITIVE_INTEGER ||
-        aIn.via.u64 > uint64_t(peer::RecordState::NotRun)) {
+  } else if constexpr (std::is_enum_v<T>) {
+    uint64_t number = 0;
+    if (!Unpack(aIn, number) || number > uint64_t(HighestOf(T{}))) {
       return false;
     }
-    aValue = T(aIn.via.u64);
-    return true;
-  } else if constexpr (std::is_enum_v<T>) {
-    std::underlying_type_t<T> number = 0;
-    const bool isGood = Unpack(aIn, number);
     aValue = T(number);
-    return isGood;
+    return true;
+  } else if constexpr (IsVariant<T>::value) {
+    if (aIn.type != msgpack::type::ARRAY || aIn.via.array.size != 2) {
+      return false;
+    }
+    uint64_t index = 0;
+    return Unpack(aIn.via.array.ptr[0], index) &&
+           UnpackVariantAt<0>(index, aIn.via.array.ptr[1], aValue);
   } else {
     static_assert(std::is_unsigned_v<T>);
     if (aIn.type != msgpack::type::POSITIVE_INTEGER ||
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -139,9 +139,13 @@
   co_return std::move(*pending->mReply);
 }
 
-void PeerTransport::Notify(IpEndpoint aPeer, PeerBody aBody)
+void PeerTransport::Notify(IpEndpoint aPeer,
+                           PeerBody aBody,
+                           Incarnation aReceiver)
 {
-  auto frame = EncodePeerFrame(MakeMessage(std::move(aBody)));
+  PeerMessage message = MakeMessage(std::move(aBody));
+  message.mReceiverIncarnation = aReceiver;
+  auto frame = EncodePeerFrame(message);
   if (frame) {
     SendTo(aPeer, std::move(frame.value()));
   }
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -47,8 +47,9 @@
                                       Incarnation aReceiver,
                                       PeerBody aBody,
                                       Duration aTimeout);
-  /// Sends a notice without a reply; lost if the peer can't be reached.
-  void Notify(IpEndpoint aPeer, PeerBody aBody);
+  /// Sends a notice without a reply; lost if the peer can't be reached or is
+  /// not the run `aReceiver`, unless that is 0.
+  void Notify(IpEndpoint aPeer, PeerBody aBody, Incarnation aReceiver = 0);
   /// Sends a message whose envelope another part has filled in. Without an
   /// address it goes back on the link on which `aTo` last sent.
   void SendMessage(const InstanceName& aTo,
--- a/src/RecordCopy.h
+++ b/src/RecordCopy.h
@@ -4,6 +4,8 @@
 #include "RecordKey.h"
 #include "Time.h"
 
+#include <tuple>
+
 namespace pollenway {
 
 /// What a home knows of a key.
@@ -33,6 +35,18 @@
   Duration mRemaining{};
   /// The stored answer, opaque here.
   std::string mAnswer;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mKey,
+                    aSelf.mFingerprint,
+                    aSelf.mState,
+                    aSelf.mAttempt,
+                    aSelf.mVersion,
+                    aSelf.mAge,
+                    aSelf.mRemaining,
+                    aSelf.mAnswer);
+  }
 };
 
 } // namespace pollenway
--- a/src/RecordKey.h
+++ b/src/RecordKey.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <string>
+#include <tuple>
 
 namespace pollenway {
 
@@ -23,6 +24,11 @@
   {
     return unsigned(HashOf({ mWorkspace.Text(), mKey }) % kHomePartitions);
   }
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mWorkspace, aSelf.mKey);
+  }
 };
 
 } // namespace pollenway
--- a/src/ShareBalancer.h
+++ b/src/ShareBalancer.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <optional>
 
+#include <tuple>
+
 namespace pollenway {
 
 /// What is known of a zone's demand for a workspace.
@@ -26,6 +28,11 @@
   uint64_t mSerial = 0;
   uint64_t mBaseVersion = 0;
   Allotment mValue;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mSerial, aSelf.mBaseVersion, aSelf.mValue);
+  }
 };
 
 enum class MoveOutcome
@@ -41,6 +48,11 @@
   AllotmentWrite mWrite;
   /// The giver's fraction while the outcome is open (millionths).
   uint32_t mCeiling = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mWrite, aSelf.mCeiling);
+  }
 };
 
 /// Decides, in one zone, how much of a workspace's share to give to which
--- a/src/ZoneMembership.cpp
+++ b/src/ZoneMembership.cpp
@@ -425,6 +425,7 @@
   if (mState == State::Member) {
     next = WithCompletedView(next, mOptions.mSelf.mName, mCompletedView);
   }
+  next.mEarlier = mView.Homes().Next({}).mEarlier;
   mProposed = next;
   mIsStoreBusy = true;
   aOut.push_back(act::WriteView{ ZoneViewToJson(next), *mVersion });
--- a/src/ZoneView.cpp
+++ b/src/ZoneView.cpp
@@ -38,6 +38,37 @@
            aWhere };
 }
 
+bool ReadEarlier(const json& aRoot,
+                 std::map<uint64_t, std::vector<HomeMember>>& aOut)
+{
+  const auto earlier = aRoot.find("earlier");
+  if (earlier == aRoot.end()) {
+    return true;
+  }
+  if (!earlier->is_array()) {
+    return false;
+  }
+  for (const auto& view : *earlier) {
+    uint64_t number = 0;
+    if (!view.is_object() || !ReadNumber(view, "number", number) ||
+        !view.contains("members") || !view["members"].is_array()) {
+      return false;
+    }
+    auto& members = aOut[number];
+    for (const auto& it : view["members"]) {
+      std::string name;
+      HomeMember member;
+      if (!it.is_object() || !ReadText(it, "instance", name) ||
+          !ReadNumber(it, "incarnation", member.mIncarnation)) {
+        return false;
+      }
+      member.mName = InstanceName(std::move(name));
+      members.push_back(std::move(member));
+    }
+  }
+  return true;
+}
+
 bool NameLess(const ZoneMember& aLeft, const ZoneMember& aRight)
 {
   return aLeft.mName < aRight.mName;
@@ -62,6 +93,17 @@
   return member && member->mIncarnation == aIncarnation;
 }
 
+HomeView ZoneView::Homes() const
+{
+  HomeView out;
+  out.mNumber = mNumber;
+  for (const auto& it : mMembers) {
+    out.mMembers.push_back({ it.mName, it.mIncarnation });
+  }
+  out.mEarlier = mEarlier;
+  return out;
+}
+
 std::vector<InstanceName> ZoneView::Names() const
 {
   std::vector<InstanceName> out;
@@ -122,10 +164,21 @@
                         { "relayPort", it.mRelayPort },
                         { "completedView", it.mCompletedView } });
   }
+  json earlier = json::array();
+  for (const auto& [number, view] : aView.mEarlier) {
+    json names = json::array();
+    for (const auto& it : view) {
+      names.push_back({ { "instance", it.mName.Text() },
+                        { "incarnation", it.mIncarnation } });
+    }
+    earlier.push_back(
+      { { "number", number }, { "members", std::move(names) } });
+  }
   return json{
     { "zone", aView.mZone.Text() },
     { "number", aView.mNumber },
-    { "members", std::move(members) }
+    { "members", std::move(members) },
+    { "earlier", std::move(earlier) }
   }.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -167,6 +220,9 @@
     out.mMembers.push_back(std::move(member));
   }
   std::sort(out.mMembers.begin(), out.mMembers.end(), NameLess);
+  if (!ReadEarlier(root, out.mEarlier)) {
+    return BadField("/earlier");
+  }
   return out;
 }
 
--- a/src/ZoneView.h
+++ b/src/ZoneView.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "HomeView.h"
 #include "Ids.h"
 #include "PeerMessage.h"
 #include "Result.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,8 +40,16 @@
   /// Ordered by name; each name occurs once.
   std::vector<ZoneMember> mMembers;
 
+  /// Members of earlier views by number, at most `kHomeHistory` of them. The
+  /// homes of idempotency records need them to collect records if the view
+  /// changed again before they had done so.
+  std::map<uint64_t, std::vector<HomeMember>> mEarlier;
+
   bool operator==(const ZoneView&) const = default;
 
+  /// This view and the earlier ones as the homes of records see them.
+  HomeView Homes() const;
+
   /// The member of that name, or null.
   const ZoneMember* Find(const InstanceName& aName) const;
   bool Contains(const InstanceName& aName, Incarnation aIncarnation) const;
--- a/test/PeerSamples.h
+++ b/test/PeerSamples.h
@@ -35,14 +35,12 @@
   digest.mWithdrawnCount = 2;
   digest.mLeaving = true;
   digest.mLoads = { { TargetName("lookup-1"), 9, 3, 9, 250 } };
-  const peer::Record record{ WorkspaceName("till"),
-                             "order-1",
-                             99,
-                             peer::RecordState::Answered,
-                             1000,
-                             201,
-                             "application/json",
-                             std::string("{\0}", 3) };
+  RecordCopy record;
+  record.mKey = { WorkspaceName("till"), "order-1" };
+  record.mFingerprint = 99;
+  record.mState = RecordState::Answered;
+  record.mAge = std::chrono::seconds(1);
+  record.mAnswer = std::string("{\0}", 3);
   for (auto& it : out) {
     if (auto* heartbeat = std::get_if<peer::Heartbeat>(&it.mBody)) {
       heartbeat->mDigest = digest;
@@ -54,11 +52,10 @@
     } else if (auto* admit = std::get_if<peer::AdmitReply>(&it.mBody)) {
       admit->mReply.mTokens = 2.5;
       admit->mReply.mRetryAfter = std::chrono::milliseconds(7);
-    } else if (auto* found = std::get_if<peer::RecordGetReply>(&it.mBody)) {
-      found->mRecord = record;
-    } else if (auto* all = std::get_if<peer::RecordCollectReply>(&it.mBody)) {
-      all->mRecords = { record, record };
-      all->mCode = ResultCode::StaleView;
+    } else if (auto* home = std::get_if<peer::Home>(&it.mBody)) {
+      RecordSync sync;
+      sync.mRecords = { record, record };
+      home->mMessage = std::move(sync);
     }
   }
   return out;
--- a/test/correctness/ZoneView.cpp
+++ b/test/correctness/ZoneView.cpp
@@ -59,9 +59,9 @@
       ResultCode::WrongType },
     { R"({"zone":"z","number":1,"members":[
          {"instance":"a","incarnation":1,"address":"x","entryPort":1,
-          "peerPort":2,"completedView":0},
+          "peerPort":2,"relayPort":3,"completedView":0},
          {"instance":"a","incarnation":2,"address":"x","entryPort":1,
-          "peerPort":2,"completedView":0}]})",
+          "peerPort":2,"relayPort":3,"completedView":0}]})",
       ResultCode::Duplicate },
   };
   for (const auto& it : rows) {
