--- a/apps/pollenway-backend/BackendTarget.cpp
+++ b/apps/pollenway-backend/BackendTarget.cpp
@@ -445,10 +445,11 @@
 {
   const TimePoint now = SteadyNow();
   if (!mHealth || now - mHealth->mTime >= mOptions.mHealthLag) {
-    mHealth.emplace();
-    mHealth->mTime = now;
-    mHealth->mDraining = mDraining;
-    mHealth->mInUse = mSlotsInUse;
+    HealthReport report;
+    report.mTime = now;
+    report.mDraining = mDraining;
+    report.mInUse = mSlotsInUse;
+    mHealth = report;
   }
   TextResponse answer =
     ErrorAnswer(http::status::internal_server_error, "injected failure");
--- a/apps/pollenway-load.cpp
+++ b/apps/pollenway-load.cpp
@@ -22,6 +22,9 @@
 DEFINE_string(direct,
               "",
               "send to these targets without look-ups: ADDRESS:PORT,...");
+DEFINE_bool(direct_with_key,
+            false,
+            "the --direct addresses are entry instances: send tenant keys");
 DEFINE_string(backend_admin,
               "",
               "admin ports of the backend stand-ins, asked at the end for what "
@@ -118,6 +121,7 @@
   }
   plan.mBootstrap = std::move(bootstrap.value());
   plan.mDirect = std::move(direct.value());
+  plan.mDirectWithKey = FLAGS_direct_with_key;
   if (plan.mBootstrap.empty() == plan.mDirect.empty()) {
     return Error{ ResultCode::MissingField,
                   "give either --bootstrap or --direct",
--- a/apps/pollenway-load/Caller.cpp
+++ b/apps/pollenway-load/Caller.cpp
@@ -221,7 +221,7 @@
   if (!aRequest.mKey.empty()) {
     request.set("Idempotency-Key", aRequest.mKey);
   }
-  if (!mPlan.mDirect.empty()) {
+  if (!mPlan.mDirect.empty() && !mPlan.mDirectWithKey) {
     request.set("Pollenway-Workspace", mWorkspace.mName);
   } else if (!mWorkspace.mKey.empty()) {
     request.set(http::field::authorization, "Bearer " + mWorkspace.mKey);
@@ -230,6 +230,9 @@
     request.set("Pollenway-Deadline-Ms",
                 std::to_string(uint64_t(ToSeconds(mPlan.mDeadline) * 1e3)));
   }
+  for (const auto& [name, value] : operation.mHeaders) {
+    request.set(name, value);
+  }
   uint64_t left = operation.mBodyBytes;
   if (left > 0 || !aRequest.mKey.empty()) {
     request.content_length(left);
--- a/apps/pollenway-load/LoadPlan.cpp
+++ b/apps/pollenway-load/LoadPlan.cpp
@@ -81,6 +81,7 @@
       operation.mShare = it.value("share", 1.0);
       operation.mHasKey =
         it.value("idempotency_key", operation.mMethod != "GET");
+      operation.mHeaders = it.value("headers", operation.mHeaders);
       mOperations.push_back(std::move(operation));
     }
     for (const auto& it : document.value("workspaces", nlohmann::json())) {
--- a/apps/pollenway-load/LoadPlan.h
+++ b/apps/pollenway-load/LoadPlan.h
@@ -23,6 +23,9 @@
   std::vector<IpEndpoint> mBootstrap;
   /// Targets that requests are sent to without look-ups and keys.
   std::vector<IpEndpoint> mDirect;
+  /// The direct addresses are entry instances: send the key instead of the
+  /// workspace's name.
+  bool mDirectWithKey = false;
   Duration mLength = std::chrono::seconds(10);
   Duration mTimeout = std::chrono::seconds(15);
   /// Sent as Pollenway-Deadline-Ms unless zero.
--- a/apps/pollenway-load/Operation.h
+++ b/apps/pollenway-load/Operation.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace pollenway {
@@ -18,6 +19,8 @@
   double mShare = 1;
   /// Whether the request carries an Idempotency-Key.
   bool mHasKey = false;
+  /// Further header fields, for instance "X-Crash".
+  std::map<std::string, std::string> mHeaders;
 };
 
 } // namespace pollenway
