--- a/apps/pollenway-load.cpp
+++ b/apps/pollenway-load.cpp
@@ -177,6 +177,7 @@
                             "outcome_unknown",
                             "already_ran",
                             "lost",
+                            "lost_unreachable",
                             "mismatched",
                             "not_sent",
                             "attempts",
--- a/apps/pollenway-load/LoadStatistics.cpp
+++ b/apps/pollenway-load/LoadStatistics.cpp
@@ -82,6 +82,9 @@
       ++mMismatched;
       break;
     case Kind::ConnectFailed:
+      ++mUnreachable;
+      ++mLost;
+      break;
     case Kind::Broken:
     case Kind::Cut:
       ++mLost;
@@ -108,6 +111,7 @@
   document["outcome_unknown"] = mUnknown;
   document["already_ran"] = mRan;
   document["lost"] = Lost();
+  document["lost_unreachable"] = mUnreachable;
   document["unfinished"] = mUnfinished;
   document["mismatched"] = mMismatched;
   document["refusals_by_code"] = mRefusals;
--- a/apps/pollenway-load/LoadStatistics.h
+++ b/apps/pollenway-load/LoadStatistics.h
@@ -72,6 +72,8 @@
   uint64_t mUnfinished = 0;
   uint64_t mAnswered = 0;
   uint64_t mLost = 0;
+  /// Those of the lost requests whose last attempt couldn't connect.
+  uint64_t mUnreachable = 0;
   uint64_t mMismatched = 0;
   uint64_t mUnknown = 0;
   uint64_t mRan = 0;
--- a/test/error/BackendTarget.cpp
+++ b/test/error/BackendTarget.cpp
@@ -97,7 +97,8 @@
   TargetFixture fixture(std::chrono::hours(1));
   fixture.Run([&]() -> Awaitable<void> {
     HttpClientConnection first(fixture.mIo.get_executor());
-    co_await first.Connect(fixture.mEndpoint, kTimeout);
+    auto connected = co_await first.Connect(fixture.mEndpoint, kTimeout);
+    REQUIRE(connected);
     auto posting = TargetFixture::Posting();
     co_await first.Write(std::move(posting), kTimeout);
     co_await fixture.WaitFor("executed", 1);
@@ -165,7 +166,8 @@
   TargetFixture fixture(Duration::zero());
   fixture.Run([&]() -> Awaitable<void> {
     HttpClientConnection old(fixture.mIo.get_executor());
-    co_await old.Connect(fixture.mEndpoint, kTimeout);
+    auto connected = co_await old.Connect(fixture.mEndpoint, kTimeout);
+    REQUIRE(connected);
     auto posting = TargetFixture::Posting();
     co_await old.Write(std::move(posting), kTimeout);
     ErrorCode ec = co_await old.ReadHeader(kTimeout);
