--- a/apps/pollenway-backend/BackendTarget.cpp
+++ b/apps/pollenway-backend/BackendTarget.cpp
@@ -445,10 +445,7 @@
 {
   const TimePoint now = SteadyNow();
   if (!mHealth || now - mHealth->mTime >= mOptions.mHealthLag) {
-    HealthReport report;
-    report.mTime = now;
-    report.mDraining = mDraining;
-    report.mInUse = mSlotsInUse;
+    const HealthReport report{ now, mDraining, mSlotsInUse };
     mHealth = report;
   }
   TextResponse answer =
--- a/src/Logger.h
+++ b/src/Logger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LogLevel.h"
+
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -8,14 +10,6 @@
 
 namespace pollenway {
 
-enum class LogLevel
-{
-  Debug,
-  Info,
-  Warn,
-  Error,
-};
-
 /// One key and value of a log line.
 struct LogField
 {
@@ -34,7 +28,10 @@
 };
 
 /// Sends log lines to the standard error stream through log4cxx.
-/// `aLevel` is "debug", "info", "warn" or "error".
+void InitLogging(LogLevel aLevel, const std::string& aProcessName);
+
+/// As above; `aLevel` is "trace", "debug", "info", "warn" or "error", and
+/// anything else counts as "info".
 void InitLogging(const std::string& aLevel, const std::string& aProcessName);
 
 /// Writes one line of key=value pairs. Values with spaces or quotes are quoted.
