Format the health report

Cause: the merged declaration differs from what the formatter writes. Change: formatting only. Conclusion: check-format passes for this file.

--- a/apps/pollenway-backend/BackendTarget.h
+++ b/apps/pollenway-backend/BackendTarget.h
@@ -87,8 +87,8 @@
   struct HealthReport
   {
     TimePoint mTime;
-    bool mDraining {};
-    unsigned mInUse {};
+    bool mDraining{};
+    unsigned mInUse{};
   };
 
   asio::any_io_executor mExecutor;
