Add at-most-once records and their homes

Cause: non-idempotent requests need at-most-once execution without a consensus group and without a store call for each request. Change: HomeMap (partitions to zones, moves), HomeView with earlier views, HomeDirectory, IdempotencyTable (primary, backup, collection, records) and ProtectedRequest (the receiver's side), without I/O. A run needs both homes of a view, so one home's promise ends a view; a new primary needs a promise for each view since the last completed one. Two failures of homes in quick succession lose records; the partition then is refused until it is moved.

--- /dev/null
+++ b/src/HomeMember.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Ids.h"
+
+#include <compare>
+#include <cstdint>
+
+namespace pollenway {
+
+/// One run of an instance that takes part in keeping idempotency records. A
+/// restarted process is another member: it has lost its records.
+struct HomeMember
+{
+  InstanceName mName;
+  uint64_t mIncarnation = 0;
+
+  auto operator<=>(const HomeMember&) const = default;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/src/HomeMessage.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "RecordCopy.h"
+#include "ResultCode.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pollenway {
+
+/// A home's answer to a request with an idempotency key.
+enum class BeginVerdict
+{
+  Run,          ///< May run, once, within the run window.
+  StoredAnswer, ///< Ran before; the answer is attached.
+  Refused,      ///< Answer with `mCode`, whose outcome is true.
+};
+
+/// Receiver → primary: may this attempt run?
+struct RecordBegin
+{
+  RecordKey mKey;
+  uint64_t mFingerprint = 0;
+  AttemptId mAttempt;
+};
+
+struct RecordBeginReply
+{
+  AttemptId mAttempt;
+  BeginVerdict mVerdict = BeginVerdict::Refused;
+  ResultCode mCode = ResultCode::HomeUnavailable;
+  std::string mAnswer;
+};
+
+/// How an attempt ended.
+enum class RecordEnding
+{
+  Answered,
+  Unknown, ///< May have run.
+  NotRun,  ///< Provably did not run and never will.
+};
+
+/// Receiver → primary; repeated until acknowledged.
+struct RecordEnd
+{
+  RecordKey mKey;
+  AttemptId mAttempt;
+  RecordEnding mEnding = RecordEnding::Unknown;
+  /// Empty also if too large to store.
+  std::string mAnswer;
+  bool mHasAnswer = false;
+};
+
+struct RecordEndReply
+{
+  AttemptId mAttempt;
+};
+
+/// Partition, its number of moves and the view in which a message is valid.
+struct HomeScope
+{
+  unsigned mPartition = 0;
+  uint64_t mMoves = 0;
+  uint64_t mView = 0;
+
+  auto operator<=>(const HomeScope&) const = default;
+};
+
+/// Primary → backup: write a record.
+struct RecordPut
+{
+  HomeScope mScope;
+  RecordCopy mRecord;
+};
+
+struct RecordPutReply
+{
+  HomeScope mScope;
+  RecordKey mKey;
+  uint64_t mVersion = 0;
+  bool mAccepted = false;
+};
+
+/// New primary → home of an earlier view: act in no view before `mScope.mView`
+/// again, say what you completed, and give the records after `mAfter`.
+struct RecordCollect
+{
+  HomeScope mScope;
+  bool mWantRecords = false;
+  std::optional<RecordKey> mAfter;
+};
+
+struct RecordCollectReply
+{
+  HomeScope mScope;
+  /// False if the home has promised itself to a newer view or move.
+  bool mPromised = false;
+  /// Last view whose collection the home completed; 0 if none.
+  uint64_t mCompleted = 0;
+  bool mHasRecords = false;
+  std::optional<RecordKey> mAfter;
+  std::vector<RecordCopy> mRecords;
+  bool mMore = false;
+  /// Time for which all keys are answered as unknown; none if zero.
+  Duration mQuiet{};
+  uint64_t mNextVersion = 1;
+};
+
+/// New primary → backup: one page of the partition's records.
+struct RecordSync
+{
+  HomeScope mScope;
+  unsigned mPage = 0;
+  bool mLast = false;
+  std::vector<RecordCopy> mRecords;
+  Duration mQuiet{};
+};
+
+struct RecordSyncReply
+{
+  HomeScope mScope;
+  unsigned mPage = 0;
+  bool mAccepted = false;
+};
+
+using HomeMessage = std::variant<RecordBegin,
+                                 RecordBeginReply,
+                                 RecordEnd,
+                                 RecordEndReply,
+                                 RecordPut,
+                                 RecordPutReply,
+                                 RecordCollect,
+                                 RecordCollectReply,
+                                 RecordSync,
+                                 RecordSyncReply>;
+
+/// A message to send. It is meant for this incarnation only.
+struct HomeAction
+{
+  HomeMember mTo;
+  HomeMessage mMessage;
+};
+
+} // namespace pollenway
--- /dev/null
+++ b/test/correctness/IdempotencyTable.cpp
@@ -0,0 +1,346 @@
+#include "IdempotencyTable.h"
+
+#include "ProtectedRequest.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const ZoneName kZone("z");
+const HomeMember kReceiver{ .mName = InstanceName("r"), .mIncarnation = 9 };
+const TimePoint kNow(100s);
+
+AttemptId Attempt(uint64_t aNumber)
+{
+  return { .mReceiver = kReceiver, .mNumber = aNumber };
+}
+
+RecordKey Key(const std::string& aText)
+{
+  return { .mWorkspace = WorkspaceName("w"), .mKey = aText };
+}
+
+/// Homes that exchange messages at once; those to others are kept.
+class Homes
+{
+public:
+  HomeDirectory mDirectory;
+  HomeView mView;
+  std::map<HomeMember, std::unique_ptr<IdempotencyTable>> mTables;
+  std::vector<HomeAction> mReplies;
+  std::vector<std::pair<HomeMember, HomeAction>> mSeen;
+  IdempotencyOptions mOptions;
+  TimePoint mNow = kNow;
+  std::set<HomeMember> mDown;
+
+  explicit Homes(IdempotencyOptions aOptions = {})
+    : mOptions(aOptions)
+  {
+    mDirectory.SetMap(CreateHomeMap({ { kZone, 1 } }));
+  }
+
+  void SetMembers(std::vector<uint64_t> aNumbers)
+  {
+    std::vector<HomeMember> members;
+    for (auto it : aNumbers) {
+      members.push_back({ .mName = InstanceName("m" + std::to_string(it)),
+                          .mIncarnation = it });
+    }
+    mView = mView.Next(members);
+    mDirectory.SetView(kZone, mView);
+    for (const auto& it : members) {
+      auto& table = mTables[it];
+      if (!table) {
+        table = std::make_unique<IdempotencyTable>(kZone, it, mOptions);
+      }
+    }
+    for (auto& [member, table] : mTables) {
+      if (!mDown.count(member)) {
+        table->OnDirectory(mDirectory, mNow);
+      }
+    }
+    Exchange();
+  }
+
+  void Exchange()
+  {
+    bool any = true;
+    while (any) {
+      any = false;
+      for (auto& [from, table] : mTables) {
+        for (auto& it : table->TakeActions()) {
+          any = true;
+          mSeen.emplace_back(from, it);
+          auto to = mTables.find(it.mTo);
+          if (to == mTables.end()) {
+            mReplies.push_back(it);
+          } else if (!mDown.count(it.mTo) && !mDown.count(from)) {
+            to->second->OnMessage(from, it.mMessage, mNow);
+          }
+        }
+      }
+    }
+  }
+
+  void Send(const HomeMember& aTo, const HomeMessage& aMessage)
+  {
+    mReplies.clear();
+    mTables.at(aTo)->OnMessage(kReceiver, aMessage, mNow);
+    Exchange();
+  }
+
+  /// "run", the stored answer, a code's name, or "none".
+  std::string Begin(const std::string& aKey,
+                    uint64_t aAttempt,
+                    uint64_t aFingerprint = 5)
+  {
+    const auto key = Key(aKey);
+    Send(mDirectory.Find(key)->mPrimary,
+         RecordBegin{ .mKey = key,
+                      .mFingerprint = aFingerprint,
+                      .mAttempt = Attempt(aAttempt) });
+    if (mReplies.empty()) {
+      return "none";
+    }
+    const auto& reply = std::get<RecordBeginReply>(mReplies[0].mMessage);
+    switch (reply.mVerdict) {
+      case BeginVerdict::Run:
+        return "run";
+      case BeginVerdict::StoredAnswer:
+        return reply.mAnswer;
+      case BeginVerdict::Refused:
+        break;
+    }
+    return std::string(Name(reply.mCode));
+  }
+
+  void End(const std::string& aKey,
+           uint64_t aAttempt,
+           RecordEnding aEnding,
+           const std::string& aAnswer = "")
+  {
+    const auto key = Key(aKey);
+    Send(mDirectory.Find(key)->mPrimary,
+         RecordEnd{ .mKey = key,
+                    .mAttempt = Attempt(aAttempt),
+                    .mEnding = aEnding,
+                    .mAnswer = aAnswer,
+                    .mHasAnswer = !aAnswer.empty() });
+  }
+};
+
+} // namespace
+
+// Guards against a second run and against wrong answers to repeats.
+TEST_CASE("a repeat gets what is known of the first request")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2, 3 });
+  CHECK(homes.Begin("k", 1) == "run");
+  CHECK(homes.Begin("k", 1) == "run"); // The same receiver's lost reply.
+  CHECK(homes.Begin("k", 2) == "InProgress");
+  CHECK(homes.Begin("k", 3, 6) == "IdempotencyKeyReused");
+  homes.End("k", 2, RecordEnding::NotRun); // Of an attempt never permitted.
+  CHECK(homes.Begin("k", 2) == "InProgress");
+  homes.mNow += 65s;
+  CHECK(homes.Begin("k", 4) == "BackendTimeout");
+  homes.End("k", 1, RecordEnding::Answered, "paid");
+  CHECK(homes.Begin("k", 5) == "paid");
+  homes.mNow += 15min + 5s;
+  CHECK(homes.Begin("k", 6) == "run");
+
+  CHECK(homes.Begin("lost", 7) == "run");
+  homes.End("lost", 7, RecordEnding::Unknown);
+  CHECK(homes.Begin("lost", 8) == "BackendConnectionLost");
+  CHECK(homes.Begin("shed", 9) == "run");
+  homes.End("shed", 9, RecordEnding::NotRun);
+  CHECK(homes.Begin("shed", 9) == "HomeUnavailable");
+  CHECK(homes.Begin("shed", 10) == "run");
+}
+
+// Guards against records lost with their primary, and against homes that serve
+// after a new primary has collected from them.
+TEST_CASE("records survive the primary and old homes stop")
+{
+  Homes homes({ .mPageBytes = 400 });
+  homes.SetMembers({ 1, 2, 3 });
+  const std::vector<std::string> keys{ "a", "b", "c", "d", "e", "f" };
+  for (const auto& it : keys) {
+    CHECK(homes.Begin(it, 1) == "run");
+    homes.End(it, 1, RecordEnding::Answered, "answer " + it);
+  }
+  homes.SetMembers({ 2, 3, 4, 5 });
+  homes.SetMembers({ 3, 4, 5 });
+  homes.SetMembers({ 4, 5 });
+  for (const auto& it : keys) {
+    CHECK(homes.Begin(it, 2) == "answer " + it);
+    const auto old = HomesOf(Key(it).Partition(), 1, *homes.mView.MembersOf(1));
+    homes.Send(old->mPrimary,
+               RecordBegin{ .mKey = Key(it), .mAttempt = Attempt(3) });
+    for (const auto& reply : homes.mReplies) {
+      CHECK(std::get<RecordBeginReply>(reply.mMessage).mVerdict !=
+            BeginVerdict::Run);
+    }
+    auto other = Key(it);
+    for (int i = 0; other.Partition() != Key(it).Partition() || i == 0; ++i) {
+      other.mKey = it + std::to_string(i);
+    }
+    homes.Send(old->mPrimary,
+               RecordBegin{ .mKey = other, .mAttempt = Attempt(4) });
+    for (const auto& reply : homes.mReplies) {
+      CHECK(std::get<RecordBeginReply>(reply.mMessage).mVerdict !=
+            BeginVerdict::Run);
+    }
+  }
+}
+
+// Guards against a run that only one home knows of.
+TEST_CASE("without the backup's acknowledgement nothing runs")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  const auto pair = *homes.mDirectory.Find(Key("k"));
+  homes.mDown.insert(*pair.mBackup);
+  CHECK(homes.Begin("k", 1) == "none");
+  homes.mReplies.clear();
+  homes.mNow += 3s;
+  homes.mTables[pair.mPrimary]->Tick(homes.mNow);
+  homes.Exchange();
+  REQUIRE(homes.mReplies.size() == 1);
+  CHECK(std::get<RecordBeginReply>(homes.mReplies[0].mMessage).mCode ==
+        ResultCode::HomeUnavailable);
+  // A view of one member runs without and says so.
+  homes.SetMembers({ pair.mPrimary.mIncarnation });
+  CHECK(homes.Begin("k", 2) == "run");
+  CHECK(homes.mTables[pair.mPrimary]->IsWithoutBackup(Key("k").Partition()));
+}
+
+// Guards against repeated messages of the homes that undo newer records.
+TEST_CASE("repeated transfers and writes change nothing")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  const auto pair = *homes.mDirectory.Find(Key("k"));
+  CHECK(homes.Begin("k", 1) == "run");
+  homes.End("k", 1, RecordEnding::Answered, "paid");
+  // The oldest last.
+  const auto seen = homes.mSeen;
+  for (auto it = seen.rbegin(); it != seen.rend(); ++it) {
+    const auto& [from, action] = *it;
+    if (action.mTo == *pair.mBackup) {
+      homes.mTables[action.mTo]->OnMessage(from, action.mMessage, homes.mNow);
+    }
+  }
+  homes.Exchange();
+  homes.mDown.insert(pair.mPrimary);
+  homes.SetMembers({ pair.mBackup->mIncarnation });
+  CHECK(homes.Begin("k", 2) == "paid");
+}
+
+// Guards against a run in an old view after the new primary has collected from
+// the old backup only, for instance while the old primary is paused.
+TEST_CASE("a backup that was collected from acknowledges no older view")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  const auto pair = *homes.mDirectory.Find(Key("k"));
+  homes.Send(
+    *pair.mBackup,
+    RecordCollect{ .mScope = { .mPartition = Key("k").Partition(), .mView = 2 },
+                   .mAfter = {} });
+  REQUIRE(homes.mReplies.size() == 1);
+  const auto& reply = std::get<RecordCollectReply>(homes.mReplies[0].mMessage);
+  CHECK(reply.mPromised);
+  CHECK(reply.mCompleted == 1);
+  CHECK(homes.Begin("k", 1) == "none");
+}
+
+// Guards against runs of keys whose records are lost: without any home of the
+// last view nothing is served, and after a move all is unknown for a time.
+TEST_CASE("lost records are never taken as none")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  CHECK(homes.Begin("k", 1) == "run");
+  for (const auto& [member, table] : homes.mTables) {
+    homes.mDown.insert(member);
+  }
+  homes.SetMembers({ 3, 4 });
+  CHECK(homes.Begin("k", 2) == "HomeUnavailable");
+  homes.mDirectory.SetMap(
+    MoveHomes(homes.mDirectory.Map(), kZone, { { kZone, 2 } }));
+  homes.SetMembers({ 3, 4 });
+  CHECK(homes.Begin("k", 3) == "RecordsLost");
+  homes.mNow += 10min;
+  homes.SetMembers({ 4, 5 });
+  homes.SetMembers({ 5, 6 });
+  CHECK(homes.Begin("k", 4) == "RecordsLost");
+  homes.mNow += 7min;
+  CHECK(homes.Begin("k", 5) == "run");
+}
+
+// Guards against unbounded memory and against live records given up for it.
+TEST_CASE("a full table refuses new keys and keeps the others")
+{
+  Homes homes({ .mMostRecords = 2, .mMostAnswerBytes = 10 });
+  homes.SetMembers({ 1 });
+  CHECK(homes.Begin("a", 1) == "run");
+  CHECK(homes.Begin("b", 1) == "run");
+  CHECK(homes.Begin("c", 1) == "NoHeadroom");
+  homes.End("a", 1, RecordEnding::Answered, "12345678");
+  homes.End("b", 1, RecordEnding::Answered, "12345678");
+  CHECK(homes.Begin("a", 2) == "12345678");
+  CHECK(homes.Begin("b", 2) == "AlreadyRan");
+  const auto& table = *homes.mTables.begin()->second;
+  CHECK(table.Records() == 2);
+  CHECK(table.AnswerBytes() == 8);
+  homes.mNow += 16min;
+  for (unsigned i = 0; i < kHomePartitions; ++i) {
+    homes.mTables.begin()->second->Tick(homes.mNow);
+  }
+  CHECK(table.Records() == 0);
+}
+
+// Guards against a run long after the permission, when its record may be
+// gone, and against a late permission for a request that was refused.
+TEST_CASE("a request starts once, within the run window, or never")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  const RecordBeginReply run{ .mAttempt = Attempt(1),
+                              .mVerdict = BeginVerdict::Run,
+                              .mAnswer = {} };
+  using Step = ProtectedRequest::Step;
+  ProtectedRequest late(Key("k"), 5, Attempt(1));
+  REQUIRE(late.Ask(homes.mDirectory, kNow));
+  CHECK(late.OnReply(run, kNow + 1s) == Step::Run);
+  CHECK_FALSE(late.TryStart(kNow + 4s));
+  CHECK(OutcomeOf(late.Refusal()) == Outcome::NotRun);
+  CHECK_FALSE(late.HasStarted());
+  CHECK(late.Report(homes.mDirectory));
+
+  ProtectedRequest gone(Key("k"), 5, Attempt(1));
+  REQUIRE(gone.Ask(homes.mDirectory, kNow));
+  CHECK(gone.GiveUp() == Step::Refuse);
+  CHECK(gone.OnReply(run, kNow) == Step::Done);
+  CHECK_FALSE(gone.TryStart(kNow));
+
+  ProtectedRequest once(Key("k"), 5, Attempt(1));
+  REQUIRE(once.Ask(homes.mDirectory, kNow));
+  CHECK(once.OnReply(run, kNow) == Step::Run);
+  CHECK(once.OnReply(run, kNow) == Step::Done);
+  CHECK(once.TryStart(kNow));
+  CHECK_FALSE(once.TryStart(kNow));
+  CHECK(once.GiveUp() == Step::Done);
+  once.End(RecordEnding::Answered, std::string(100'000, 'x'));
+  const auto report = once.Report(homes.mDirectory);
+  REQUIRE(report);
+  CHECK_FALSE(std::get<RecordEnd>(report->mMessage).mHasAnswer);
+  once.OnEndReply();
+  CHECK(once.IsDone());
+}
