Let an unchanged pair of homes go on without a transfer

Cause: each change of a zone's view made all primaries send all records to their backups, also where the pair had not changed; and a record pending in a view whose next one has no backup had no way to be sent. Change: a primary that served the last completed view with the same backup names that view instead of sending pages; records that the backup has not acknowledged are sent again. The time saved was not measured.

--- a/src/HomeMessage.h
+++ b/src/HomeMessage.h
@@ -107,10 +107,13 @@
   uint64_t mNextVersion = 1;
 };
 
-/// New primary → backup: one page of the partition's records.
+/// New primary → backup: one page of the partition's records, or the word that
+/// the pair is that of view `mUnchangedSince`, so that the backup has them.
 struct RecordSync
 {
   HomeScope mScope;
+  /// 0: pages follow.
+  uint64_t mUnchangedSince = 0;
   unsigned mPage = 0;
   bool mLast = false;
   std::vector<RecordCopy> mRecords;
@@ -122,6 +125,8 @@
   HomeScope mScope;
   unsigned mPage = 0;
   bool mAccepted = false;
+  /// The backup has not completed `mUnchangedSince` and needs the pages.
+  bool mNeedsPages = false;
 };
 
 using HomeMessage = std::variant<RecordBegin,
--- a/src/IdempotencyTable.cpp
+++ b/src/IdempotencyTable.cpp
@@ -258,6 +258,10 @@
   auto& part = mPartitions[aPartition];
   POLLENWAY_ASSERT(part.mPromised == part.mRoleView,
                    "a collection is completed in a view that was given up");
+  const bool isSamePair = part.mBackup && part.mServedView > 0 &&
+                          part.mServedView == part.mCompleted &&
+                          part.mServedBackup == part.mBackup;
+  part.mUnchangedSince = isSamePair ? part.mServedView : 0;
   part.mCompleted = part.mRoleView;
   part.mAnswers.clear();
   part.mPage = 0;
@@ -275,6 +279,13 @@
 {
   auto& part = mPartitions[aPartition];
   part.mSent = aNow;
+  if (part.mUnchangedSince > 0) {
+    Send(*part.mBackup,
+         RecordSync{ .mScope = ScopeOf(aPartition),
+                     .mUnchangedSince = part.mUnchangedSince,
+                     .mRecords = {} });
+    return;
+  }
   auto page = PageAfter(part, part.mCursor, aNow);
   RecordSync out{ .mScope = ScopeOf(aPartition),
                   .mPage = part.mPage,
@@ -300,6 +311,15 @@
   if (part.mRoleView < part.mPromised) {
     part.mRole = HomeRole::None;
   }
+  if (aIt.mUnchangedSince > 0) {
+    if (part.mCompleted == aIt.mUnchangedSince) {
+      part.mCompleted = aIt.mScope.mView;
+    }
+    reply.mAccepted = part.mCompleted == aIt.mScope.mView;
+    reply.mNeedsPages = !reply.mAccepted;
+    Send(aFrom, reply);
+    return;
+  }
   // A repeated page must not undo the records written since.
   if (part.mCompleted < aIt.mScope.mView) {
     if (part.mStagedScope != aIt.mScope) {
@@ -337,7 +357,19 @@
   auto& part = mPartitions[partition];
   if (part.mRole != HomeRole::Syncing || aIt.mScope != ScopeOf(partition) ||
       part.mPromised != part.mRoleView || !part.mBackup ||
-      *part.mBackup != aFrom || !aIt.mAccepted || aIt.mPage != part.mPage) {
+      *part.mBackup != aFrom) {
+    return;
+  }
+  if (part.mUnchangedSince > 0) {
+    if (aIt.mAccepted) {
+      StartServing(partition);
+    } else if (aIt.mNeedsPages) {
+      part.mUnchangedSince = 0;
+      SendSync(partition, aNow);
+    }
+    return;
+  }
+  if (!aIt.mAccepted || aIt.mPage != part.mPage) {
     return;
   }
   auto page = PageAfter(part, part.mCursor, aNow);
@@ -356,16 +388,19 @@
   part.mRole = HomeRole::Serving;
   POLLENWAY_ASSERT(MayServe(part), "a view is served before its collection");
   part.mCursor.reset();
-  // The backup has all records now. Pending ones are sent once more, because
-  // only the acknowledgement of a single record permits a run.
-  std::set<RecordKey> pending;
+  part.mServedView = part.mRoleView;
+  part.mServedBackup = part.mBackup;
+  // After pages the backup has all records. Pending ones are sent once more,
+  // because only the acknowledgement of a single record permits a run.
+  part.mDirty.clear();
   for (auto& [key, record] : part.mRecords) {
-    record.mDirty = record.mState == RecordState::Pending;
+    record.mDirty =
+      part.mBackup && (record.mState == RecordState::Pending ||
+                       (part.mUnchangedSince > 0 && record.mDirty));
     if (record.mDirty) {
-      pending.insert(key);
+      part.mDirty.insert(key);
     }
   }
-  part.mDirty = std::move(pending);
 }
 
 // --- Requests at the primary -----------------------------------------------
--- a/src/IdempotencyTable.h
+++ b/src/IdempotencyTable.h
@@ -98,6 +98,11 @@
     TimePoint mProgress{};
     unsigned mPage = 0;
     std::optional<RecordKey> mCursor;
+    /// The last view served and its backup, which needs no pages again.
+    uint64_t mServedView = 0;
+    std::optional<HomeMember> mServedBackup;
+    /// View to name in `RecordSync`; 0 if pages are sent.
+    uint64_t mUnchangedSince = 0;
 
     /// Records received so far, as collector or as backup.
     RecordMap mStaged;
--- a/test/correctness/IdempotencyTable.cpp
+++ b/test/correctness/IdempotencyTable.cpp
@@ -260,6 +260,43 @@
   CHECK(homes.Begin("k", 1) == "none");
 }
 
+// Guards against writes that the backup lacks when a pair goes on in the next
+// view without sending its records again, and against sending them.
+TEST_CASE("an unchanged pair goes on without a transfer")
+{
+  Homes homes;
+  homes.SetMembers({ 1, 2 });
+  const auto pair = *homes.mDirectory.Find(Key("k"));
+  CHECK(homes.Begin("k", 1) == "run");
+  homes.mDown.insert(*pair.mBackup);
+  homes.End("k", 1, RecordEnding::Answered, "paid");
+  homes.mDown.clear();
+  homes.mSeen.clear();
+  // Named so that it is third by rendezvous for this partition.
+  uint64_t third = 3;
+  for (bool found = false; !found; third += found ? 0 : 1) {
+    const HomeMember it{ .mName = InstanceName("m" + std::to_string(third)),
+                         .mIncarnation = third };
+    const auto with =
+      HomesOf(Key("k").Partition(), 2, { pair.mPrimary, *pair.mBackup, it });
+    found = with->mPrimary == pair.mPrimary && with->mBackup == pair.mBackup;
+  }
+  homes.SetMembers({ 1, 2, third });
+  for (const auto& [from, action] : homes.mSeen) {
+    if (const auto* it = std::get_if<RecordSync>(&action.mMessage)) {
+      if (it->mScope.mPartition == Key("k").Partition()) {
+        CHECK(it->mUnchangedSince == 1);
+      }
+    }
+  }
+  homes.mNow += 1s;
+  homes.mTables[pair.mPrimary]->Tick(homes.mNow);
+  homes.Exchange();
+  homes.mDown.insert(pair.mPrimary);
+  homes.SetMembers({ pair.mBackup->mIncarnation, third });
+  CHECK(homes.Begin("k", 2) == "paid");
+}
+
 // Guards against runs of keys whose records are lost: without any home of the
 // last view nothing is served, and after a move all is unknown for a time.
 TEST_CASE("lost records are never taken as none")
