--- a/src/CrashQuarantine.cpp
+++ b/src/CrashQuarantine.cpp
@@ -112,6 +112,15 @@
   return true;
 }
 
+bool CrashQuarantine::HasSuspect(
+  const std::vector<RequestFingerprint>& aInFlight) const
+{
+  return std::any_of(
+    aInFlight.begin(), aInFlight.end(), [this](RequestFingerprint aIt) {
+      return mSuspects.count(aIt) > 0;
+    });
+}
+
 bool CrashQuarantine::OnCompleted(RequestFingerprint aRequest)
 {
   if (!mSuspects.count(aRequest)) {
@@ -135,6 +144,7 @@
 }
 
 void CrashQuarantine::Convict(const std::set<RequestFingerprint>& aRequests,
+                              const CrashId& aLast,
                               TimePoint aNow)
 {
   std::set<CrashId> explained;
@@ -144,29 +154,39 @@
     suspect.mQuarantinedUntil = aNow + std::min(mOptions.mLongestQuarantine,
                                                 mOptions.mQuarantine * factor);
     ++suspect.mQuarantines;
-    explained.merge(std::exchange(suspect.mCrashes, {}));
+    explained.insert(suspect.mCrashes.begin(), suspect.mCrashes.end());
   }
-  // Others in flight at the same crashes are no longer suspected for them.
+  // Others in flight at the earlier crashes are no longer suspected for them.
+  // Those at the last one stay suspects, as one of them may be its cause.
+  explained.erase(aLast);
   for (const auto& crash : explained) {
     auto at = mCrashes.find(crash);
     if (at == mCrashes.end()) {
       continue;
     }
-    const auto others = std::move(at->second);
-    mCrashes.erase(at);
-    for (const auto& it : others) {
-      auto other = mSuspects.find(it);
-      if (other == mSuspects.end() || aRequests.count(it)) {
-        continue;
-      }
-      other->second.mCrashes.erase(crash);
-      if (other->second.mCrashes.empty() && !other->second.mQuarantines) {
-        Forget(it);
+    for (const auto& it : std::set(at->second)) {
+      if (!aRequests.count(it)) {
+        Exonerate(it, crash);
       }
     }
   }
 }
 
+void CrashQuarantine::Exonerate(RequestFingerprint aRequest,
+                                const CrashId& aCrash)
+{
+  mCrashes.at(aCrash).erase(aRequest);
+  auto& suspect = mSuspects.at(aRequest);
+  suspect.mCrashes.erase(aCrash);
+  if (suspect.mCrashes.size() < kCrashesToConvict) {
+    suspect.mQuarantinedUntil.reset();
+    suspect.mQuarantines = 0;
+  }
+  if (suspect.mCrashes.empty()) {
+    Forget(aRequest);
+  }
+}
+
 void CrashQuarantine::OnCrash(const CrashReport& aReport, TimePoint aNow)
 {
   Expire(aNow);
@@ -186,7 +206,7 @@
     }
   }
   if (!convicted.empty()) {
-    Convict(convicted, aNow);
+    Convict(convicted, aReport.mId, aNow);
   }
   while (mSuspects.size() > mOptions.mMostSuspects) {
     auto oldest = mSuspects.end();
--- a/src/CrashQuarantine.h
+++ b/src/CrashQuarantine.h
@@ -31,8 +31,9 @@
 /// Each request in flight at a crash becomes a suspect. A suspect runs at most
 /// once at a time, through one instance, and no two suspects run on one target
 /// at once, so that a second crash has at most one suspect in flight, which is
-/// quarantined. The crashes that a quarantined request explains no longer count
-/// against others, and a suspect that completes is cleared.
+/// quarantined. Its earlier crashes no longer count against others, which
+/// releases one that was quarantined for them; the others at the last crash
+/// become suspects. A suspect that completes is cleared.
 class CrashQuarantine
 {
 public:
@@ -51,12 +52,17 @@
   std::optional<TimePoint> QuarantinedUntil(RequestFingerprint aRequest) const;
 
   /// At the selected instance: starts a suspect's run on a target. False if it
-  /// already runs, is quarantined, or another suspect runs on the target; the
-  /// request then waits or is refused as not run.
+  /// already runs, is quarantined, or another suspect was started on the target
+  /// from here; the request then waits or is refused as not run.
   bool TryStartSuspect(RequestFingerprint aRequest,
                        const TargetName& aTarget,
                        TimePoint aNow);
 
+  /// At the target's slot owner: whether one of the requests in flight at the
+  /// target is a suspect, so that no further suspect may start there. The
+  /// suspects' selected instances differ and don't know of each other.
+  bool HasSuspect(const std::vector<RequestFingerprint>& aInFlight) const;
+
   /// The request ended without a crash of its target. True if it was a suspect
   /// and `OnCleared` must be announced to peers.
   bool OnCompleted(RequestFingerprint aRequest);
@@ -86,7 +92,10 @@
   };
 
   void Forget(RequestFingerprint aRequest);
-  void Convict(const std::set<RequestFingerprint>& aRequests, TimePoint aNow);
+  void Convict(const std::set<RequestFingerprint>& aRequests,
+               const CrashId& aLast,
+               TimePoint aNow);
+  void Exonerate(RequestFingerprint aRequest, const CrashId& aCrash);
   void Expire(TimePoint aNow);
 
   CrashQuarantineOptions mOptions;
