--- a/bench/dispatch_model.cpp
+++ b/bench/dispatch_model.cpp
@@ -46,6 +46,8 @@
   /// Targets that lose connections after holding a slot for long.
   unsigned mFailing = 0;
   bool mBudget = true;
+  /// One budget for each workspace instead of one for the service.
+  bool mBudgetEach = false;
   bool mEjection = true;
 };
 
@@ -102,9 +104,12 @@
       mSelectors.push_back(std::make_unique<BasicTargetSelector<Policy>>(
         ZoneName("z"), RegionName("r"), options));
       mSelectors.back()->SetTargets(targets, mNow);
-      mBudgets.push_back(RetryBudget(
-        aScenario.mBudget ? RetryBudgetOptions{}
-                          : RetryBudgetOptions{ .mRatio = 100, .mMost = 1e9 }));
+      for (unsigned workspace = 0; workspace < kWorkspaces; ++workspace) {
+        mBudgets.push_back(
+          RetryBudget(aScenario.mBudget
+                        ? RetryBudgetOptions{}
+                        : RetryBudgetOptions{ .mRatio = 100, .mMost = 1e9 }));
+      }
     }
     mServed.assign(kTargets, kWarmAfter * 10);
     mEpoch.assign(kTargets, 0);
@@ -200,12 +205,18 @@
                            .mAttempts = 0,
                            .mDeadline = mNow + 1s };
       ++mSent[aWorkspace];
-      mBudgets[request->mReceiver].OnRequest();
+      BudgetOf(*request).OnRequest();
       Attempt(request);
       Arrive(aWorkspace, aRate, aLength);
     });
   }
 
+  RetryBudget& BudgetOf(const Request& aRequest)
+  {
+    return mBudgets[aRequest.mReceiver * kWorkspaces +
+                    (mScenario.mBudgetEach ? aRequest.mWorkspace : 0)];
+  }
+
   void Attempt(const RequestPtr& aRequest)
   {
     auto& selector = *mSelectors[aRequest->mReceiver];
@@ -303,8 +314,7 @@
     auto& report = aRequest->mReport;
     report.mFailure = aFailure;
     report.mBytesSent = aFailure == AttemptFailure::ConnectionLost;
-    const auto decision =
-      mPolicy.Decide(report, mBudgets[aRequest->mReceiver], mNow);
+    const auto decision = mPolicy.Decide(report, BudgetOf(*aRequest), mNow);
     report.mEarlierMayHaveRun = decision.mMayHaveRun;
     if (decision.mRetry) {
       ++mRetries;
@@ -379,6 +389,11 @@
     { .mName = "all at their rate, 0.8, fair", .mLoad = 0.8 });
   RunOne<LeastOutstandingOfTwo>(
     { .mName = "one at 5 times, 0.8, fair", .mLoad = 0.8, .mOverSender = 5 });
+  RunOne<LeastOutstandingOfTwo>(
+    { .mName = "one at 5 times, 0.8, fair, budget for each workspace",
+      .mLoad = 0.8,
+      .mOverSender = 5,
+      .mBudgetEach = true });
   RunOne<LeastOutstandingOfTwo>({ .mName = "one at 5 times, 0.8, first in",
                                   .mLoad = 0.8,
                                   .mOverSender = 5,
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -15,8 +15,10 @@
   double mMost = 20;
 };
 
-/// Retries allowed for one service at one instance: never more than a tenth of
-/// its requests plus the initial allowance.
+/// Retries allowed at one instance for one service, or better for one workspace
+/// of it, so that a workspace whose requests are shed does not use up the
+/// retries of others: never more than a tenth of the requests plus the initial
+/// allowance.
 class RetryBudget
 {
 public:
