--- a/src/HomeMessage.h
+++ b/src/HomeMessage.h
@@ -162,10 +162,13 @@
   }
 };
 
-/// New primary → backup: one page of the partition's records.
+/// New primary → backup: one page of the partition's records, or the word that
+/// the pair is that of view `mUnchangedSince`, so that the backup has them.
 struct RecordSync
 {
   HomeScope mScope;
+  /// 0: pages follow.
+  uint64_t mUnchangedSince = 0;
   unsigned mPage = 0;
   bool mLast = false;
   std::vector<RecordCopy> mRecords;
@@ -173,8 +176,12 @@
 
   static auto Fields(auto& aSelf)
   {
-    return std::tie(
-      aSelf.mScope, aSelf.mPage, aSelf.mLast, aSelf.mRecords, aSelf.mQuiet);
+    return std::tie(aSelf.mScope,
+                    aSelf.mPage,
+                    aSelf.mUnchangedSince,
+                    aSelf.mLast,
+                    aSelf.mRecords,
+                    aSelf.mQuiet);
   }
 };
 
@@ -183,10 +190,13 @@
   HomeScope mScope;
   unsigned mPage = 0;
   bool mAccepted = false;
+  /// The backup has not completed `mUnchangedSince` and needs the pages.
+  bool mNeedsPages = false;
 
   static auto Fields(auto& aSelf)
   {
-    return std::tie(aSelf.mScope, aSelf.mPage, aSelf.mAccepted);
+    return std::tie(
+      aSelf.mScope, aSelf.mPage, aSelf.mAccepted, aSelf.mNeedsPages);
   }
 };
 
