--- /dev/null
+++ b/tools/pollenwayctl/KeyCommands.cpp
@@ -0,0 +1,199 @@
+#include "KeyCommands.h"
+
+#include "FleetView.h"
+#include "InventoryEdit.h"
+#include "Sha256.h"
+
+#include <openssl/rand.h>
+
+#include <stdexcept>
+
+namespace pollenway {
+
+namespace {
+
+constexpr size_t kKeyBytes = 32;
+/// Enough of the digest to make an id unique, too little to find a key.
+constexpr size_t kIdDigits = 12;
+
+/// Where a withdrawal is to be given, and the zones that must confirm it.
+struct WithdrawalTargets
+{
+  std::vector<IpEndpoint> mEndpoints;
+  /// The zone of each endpoint; empty if unknown.
+  std::vector<ZoneName> mZones;
+  /// False for each zone that has not confirmed yet.
+  std::map<ZoneName, bool> mConfirmed;
+  std::vector<Error> mErrors;
+};
+
+Awaitable<Result<WithdrawalTargets>> FindTargets(ObjectStore& aStore,
+                                                 CommandOptions aOptions)
+{
+  WithdrawalTargets targets;
+  auto given = ParseEndpointList(aOptions.mInstances);
+  if (!given) {
+    co_return given.error();
+  }
+  targets.mEndpoints = std::move(given.value());
+  auto fleet = co_await ReadFleetView(aStore);
+  if (!fleet) {
+    if (targets.mEndpoints.empty()) {
+      co_return fleet.error();
+    }
+    targets.mZones.resize(targets.mEndpoints.size());
+    co_return targets;
+  }
+  targets.mErrors = fleet.value().mErrors;
+  const bool useViews = targets.mEndpoints.empty();
+  for (const auto& zone : fleet.value().mZones) {
+    if (!zone.mMembers.empty()) {
+      targets.mConfirmed[zone.mZone] = false;
+    }
+    for (const auto& it : zone.mMembers) {
+      if (useViews) {
+        targets.mEndpoints.push_back(
+          IpEndpoint{ .mAddress = it.mAddress, .mPort = aOptions.mAdminPort });
+      }
+    }
+  }
+  for (const auto& it : targets.mEndpoints) {
+    targets.mZones.push_back(fleet.value().ZoneOf(it.mAddress));
+  }
+  co_return targets;
+}
+
+/// The zone that an instance's answer names; empty if it names none.
+ZoneName ZoneOfAnswer(const std::string& aBody)
+{
+  const auto document = nlohmann::json::parse(aBody, nullptr, false);
+  if (!document.is_object() || !document.contains("zone") ||
+      !document["zone"].is_string()) {
+    return {};
+  }
+  return ZoneName(document["zone"].get<std::string>());
+}
+
+void NoteAnswer(CommandResult& aResult,
+                WithdrawalTargets& aTargets,
+                size_t aIndex,
+                const Result<std::string>& aAnswer)
+{
+  ZoneName zone = aTargets.mZones[aIndex];
+  if (aAnswer) {
+    if (zone.IsEmpty()) {
+      zone = ZoneOfAnswer(aAnswer.value());
+    }
+    if (!zone.IsEmpty()) {
+      aTargets.mConfirmed[zone] = true;
+    }
+  } else {
+    aResult.mErrors.push_back(aAnswer.error());
+  }
+  const std::string where = TextOf(aTargets.mEndpoints[aIndex]);
+  const std::string zoneText =
+    zone.IsEmpty() ? "of an unknown zone" : "of zone " + zone.Text();
+  aResult.mDocument["instances"].push_back({ { "instance", where },
+                                             { "zone", zone.Text() },
+                                             { "confirmed", bool(aAnswer) } });
+  aResult.Line("instance " + where + " " + zoneText + ": " +
+               (aAnswer ? "confirmed" : "not confirmed"));
+}
+
+} // namespace
+
+std::string DrawKey()
+{
+  unsigned char bytes[kKeyBytes];
+  if (RAND_bytes(bytes, sizeof bytes) != 1) {
+    throw std::runtime_error("the system's random source failed");
+  }
+  std::string key = "pwk_";
+  for (const unsigned char it : bytes) {
+    key += "0123456789abcdef"[it >> 4];
+    key += "0123456789abcdef"[it & 15];
+  }
+  return key;
+}
+
+Awaitable<CommandResult> IssueKey(ObjectStore& aStore,
+                                  CommandOptions aOptions,
+                                  std::string aWorkspace,
+                                  std::string aKey)
+{
+  TenantKey record;
+  record.mDigest = Sha256Hex(aKey);
+  record.mId =
+    KeyId(aOptions.mId.empty() ? "key-" + record.mDigest.substr(0, kIdDigits)
+                               : aOptions.mId);
+  record.mWorkspace = WorkspaceName(aWorkspace);
+  ConfigurationStore configuration(aStore, aOptions.mPatience);
+  ConfigurationStore::Edit edit = [=](const Inventory& aInventory) {
+    return InventoryEdit::IssueKey(aInventory, record);
+  };
+  auto result = co_await configuration.Change(std::move(edit));
+  result.mDocument["id"] = record.mId.Text();
+  if (result.IsOk()) {
+    result.mDocument["key"] = aKey;
+    result.Line("id  " + record.mId.Text());
+    result.Line("key " + aKey);
+  } else if (result.mExit == ExitCode::StoreUnavailable) {
+    result.Line("withdraw " + record.mId.Text() +
+                " if it appears in the configuration; its key was not shown");
+  }
+  co_return result;
+}
+
+Awaitable<CommandResult> WithdrawKey(ObjectStore& aStore,
+                                     AdminClient& aAdmin,
+                                     CommandOptions aOptions,
+                                     std::string aId)
+{
+  CommandResult result;
+  result.mDocument["id"] = aId;
+  auto found = co_await FindTargets(aStore, aOptions);
+  if (!found) {
+    co_return CommandResult::Failure(found.error());
+  }
+  WithdrawalTargets& targets = found.value();
+  result.mErrors = targets.mErrors;
+  result.mDocument["instances"] = nlohmann::json::array();
+  const std::string body = nlohmann::json{ { "key", aId } }.dump();
+  auto answers =
+    co_await aAdmin.PostToAll(targets.mEndpoints, "/withdrawals", body);
+  bool allAnswered = true;
+  for (size_t n = 0; n < answers.size(); ++n) {
+    NoteAnswer(result, targets, n, answers[n]);
+    allAnswered = allAnswered && answers[n];
+  }
+  bool allZones = true;
+  for (const auto& [zone, isConfirmed] : targets.mConfirmed) {
+    result.mDocument["zones"][zone.Text()] = isConfirmed;
+    result.Line("zone " + zone.Text() + ": " +
+                (isConfirmed ? "confirmed" : "not confirmed"));
+    allZones = allZones && isConfirmed;
+  }
+  ConfigurationStore configuration(aStore, aOptions.mPatience);
+  const KeyId id(aId);
+  ConfigurationStore::Edit edit = [=](const Inventory& aInventory) {
+    return InventoryEdit::WithdrawKey(aInventory, id);
+  };
+  auto changed = co_await configuration.Change(std::move(edit));
+  result.mDocument["configuration"] = changed.mDocument;
+  result.mText += changed.mText;
+  for (auto& it : changed.mErrors) {
+    result.mErrors.push_back(std::move(it));
+  }
+  result.mExit = changed.mExit;
+  const bool isConfirmed = targets.mConfirmed.empty() ? allAnswered : allZones;
+  if (changed.IsOk() && !isConfirmed) {
+    result.mExit = ExitCode::Failed;
+  }
+  if (!changed.IsOk()) {
+    result.Line("the configuration is unchanged or unknown: repeat the "
+                "command until it succeeds");
+  }
+  co_return result;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/tools/pollenwayctl/ShiftCommands.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "InventoryCommands.h"
+
+namespace pollenway {
+
+/// `shift start|pause|resume|advance|rollback|status NAME`. `aNowUnixMs` is
+/// the wall clock, which the pace between steps is checked against.
+Awaitable<CommandResult> RunShiftCommand(ObjectStore& aStore,
+                                         CommandOptions aOptions,
+                                         Arguments aArguments,
+                                         int64_t aNowUnixMs);
+
+} // namespace pollenway
