--- a/src/InventoryEdit.cpp
+++ b/src/InventoryEdit.cpp
@@ -112,8 +112,18 @@
   if (!FindNamed(aInventory.mPlaces, aSuccessor)) {
     return Unknown("place", aSuccessor);
   }
+  if (place->mState == Lifecycle::Live) {
+    return Fail(ResultCode::InvalidState,
+                "place " + Quoted(aName.Text()) +
+                  " is in service; drain it and let its work finish first");
+  }
   place->mState = Lifecycle::Retired;
   place->mSuccessor = aSuccessor;
+  for (auto& it : aInventory.mTargets) {
+    if (it.mPlace == aName) {
+      it.mState = Lifecycle::Retired;
+    }
+  }
   if (!aInventory.ResolvePlace(aName)) {
     return Fail(ResultCode::InvalidState,
                 "successor " + Quoted(aSuccessor.Text()) +
--- a/src/InventoryEdit.h
+++ b/src/InventoryEdit.h
@@ -24,8 +24,9 @@
                                          const PlaceName& aName,
                                          Lifecycle aState);
 
-  /// Retires a place for good. Its successor must lead to a place that is not
-  /// retired. A retired place may be given another successor.
+  /// Retires a place and its targets for good. It must be draining, so that no
+  /// new work is interrupted, or retired already: then it gets another
+  /// successor. The successor must lead to a place that is not retired.
   static Result<Inventory> RetirePlace(Inventory aInventory,
                                        const PlaceName& aName,
                                        const PlaceName& aSuccessor);
--- /dev/null
+++ b/test/correctness/RacingOperators.cpp
@@ -0,0 +1,201 @@
+#include "../../tools/pollenwayctl/FleetCommands.h"
+#include "../../tools/pollenwayctl/HomeMapEdit.h"
+#include "../../tools/pollenwayctl/ShiftCommands.h"
+#include "../InventorySample.h"
+#include "../PlatformFixture.h"
+#include "InventoryEdit.h"
+#include "InventoryWriter.h"
+#include "ZoneView.h"
+
+using namespace pollenway;
+
+namespace {
+
+constexpr auto kPatience = std::chrono::seconds(5);
+
+/// A platform with the sample configuration.
+struct OperatorsFixture : PlatformFixture
+{
+  OperatorsFixture()
+  {
+    Put("configuration", "current", InventoryWriter::Write(SampleInventory()));
+  }
+
+  void Put(const char* aKind, const char* aName, const std::string& aValue)
+  {
+    REQUIRE(mServer.Table().Put(aKind, aName, aValue, {}));
+  }
+
+  ConfigurationStore Operator() { return { *mClient, kPatience }; }
+};
+
+Inventory Drained(const Inventory& aInventory, const char* aPlace)
+{
+  return InventoryEdit::SetPlaceState(
+           aInventory, PlaceName(aPlace), Lifecycle::Draining)
+    .value();
+}
+
+ZoneView View(const char* aZone, const char* aMember)
+{
+  ZoneMember member;
+  member.mName = InstanceName(aMember);
+  member.mIncarnation = 77;
+  member.mAddress = "127.0.0.9";
+  ZoneView view;
+  view.mZone = ZoneName(aZone);
+  view.mNumber = 8;
+  return WithMember(view, member);
+}
+
+} // namespace
+
+// Guards against the later of two operators overwriting the earlier one.
+TEST_CASE("of two operators who change the same version one gets a conflict")
+{
+  OperatorsFixture fixture;
+  fixture.Run([&]() -> Awaitable<void> {
+    auto store = fixture.Operator();
+    auto one = co_await store.Read();
+    auto two = co_await store.Read();
+    auto first = Drained(one.value().mInventory, "p1");
+    auto second =
+      InventoryEdit::WithdrawKey(two.value().mInventory, KeyId("k1")).value();
+
+    auto result = co_await store.Commit(one.value(), first, 0);
+    CHECK(result.mExit == ExitCode::Ok);
+    result = co_await store.Commit(two.value(), second, 0);
+    CHECK(result.mExit == ExitCode::Conflict);
+
+    auto current = co_await store.Read();
+    CHECK(current.value().mInventory.mPlaces[0].mState == Lifecycle::Draining);
+    CHECK(!current.value().mInventory.mKeys[0].mWithdrawn);
+    CHECK(current.value().mInventory.mGeneration == 13);
+  });
+}
+
+// Guards against a write whose answer was lost being reported as a conflict or
+// made twice: half of all answers to writes are lost here.
+TEST_CASE("a lost answer is resolved by reading back")
+{
+  OperatorsFixture fixture;
+  PlatformServer::Faults faults;
+  faults.mLoseAnswers = 0.5;
+  fixture.mServer.SetFaults(faults);
+  fixture.Run([&]() -> Awaitable<void> {
+    auto store = fixture.Operator();
+    for (uint64_t n = 1; n <= 20; ++n) {
+      auto current = co_await store.Read();
+      auto next = current.value().mInventory;
+      next.mWorkspaces[0].mRate = double(n);
+      auto result = co_await store.Commit(current.value(), next, 0);
+      CHECK(result.mExit == ExitCode::Ok);
+      CHECK(result.mDocument["generation"] == 12 + n);
+    }
+    CHECK(fixture.mServer.Calls("put") > 20);
+  });
+}
+
+// Guards against needless generations, and against a restored older store that
+// instances would go on refusing.
+TEST_CASE("equal configurations are written only to raise the generation")
+{
+  OperatorsFixture fixture;
+  fixture.Run([&]() -> Awaitable<void> {
+    auto store = fixture.Operator();
+    auto current = co_await store.Read();
+    const Inventory same = current.value().mInventory;
+    auto result = co_await store.Commit(current.value(), same, 0);
+    CHECK(result.mText == "no changes\n");
+    CHECK(fixture.mServer.Calls("put") == 0);
+    result = co_await store.Commit(current.value(), same, 40);
+    CHECK(result.mDocument["generation"] == 41);
+    // A generation that the instances could not read.
+    current = co_await store.Read();
+    result = co_await store.Commit(current.value(), same, UINT64_MAX - 1);
+    CHECK(result.mExit == ExitCode::Invalid);
+  });
+}
+
+// Guards against two operators making the same step, or one before the pace.
+TEST_CASE("a shift makes one step for each pace")
+{
+  OperatorsFixture fixture;
+  fixture.Run([&]() -> Awaitable<void> {
+    CommandOptions options;
+    options.mPatience = kPatience;
+    options.mDemand = 1;
+    const Arguments advance = { "advance", "move" };
+    auto store = fixture.Operator();
+    struct Row
+    {
+      int64_t mTimeMs;
+      ExitCode mExit;
+      double mShare;
+    };
+    // The first step of the sample has no record; its pace is 45 s.
+    const Row rows[] = { { 1'000, ExitCode::Invalid, 0.25 },
+                         { 45'000, ExitCode::Invalid, 0.25 },
+                         { 46'000, ExitCode::Ok, 0.3 },
+                         { 46'001, ExitCode::Invalid, 0.3 } };
+    for (const auto& row : rows) {
+      CAPTURE(row.mTimeMs);
+      auto result = co_await RunShiftCommand(
+        *fixture.mClient, options, advance, row.mTimeMs);
+      CHECK(result.mExit == row.mExit);
+      auto current = co_await store.Read();
+      CHECK(current.value().mInventory.mShifts[0].mShare ==
+            doctest::Approx(row.mShare));
+    }
+  });
+}
+
+// Guards against moving the keys of a zone that still runs them, which could
+// run a posting twice (I7).
+TEST_CASE("home partitions move only from a terminated zone")
+{
+  OperatorsFixture fixture;
+  fixture.Put("zoneview", "n-a", ZoneViewToJson(View("n-a", "n-a-1")));
+  fixture.Put("zoneview", "n-b", ZoneViewToJson(View("n-b", "n-b-1")));
+  fixture.Put("homemap",
+              "current",
+              R"({"version":1,"partitions":[
+                {"zone":"n-a","recordsSince":2,"moves":0},
+                {"zone":"n-b","recordsSince":3,"moves":0}]})");
+  fixture.Run([&]() -> Awaitable<void> {
+    CommandOptions options;
+    options.mPatience = kPatience;
+    auto result = co_await MoveHome(*fixture.mClient, options, "n-a", "n-b");
+    CHECK(result.mExit == ExitCode::Invalid);
+    CHECK(fixture.mServer.Calls("put") == 0);
+
+    options.mZoneIsTerminated = true;
+    result = co_await MoveHome(*fixture.mClient, options, "n-a", "n-b");
+    CHECK(result.mExit == ExitCode::Ok);
+    CHECK(*fixture.mServer.Table().Get("homemap", "current")->mValue ==
+          R"({"partitions":[{"moves":1,"recordsSince":9,"zone":"n-b"},)"
+          R"({"moves":0,"recordsSince":3,"zone":"n-b"}],"version":2})");
+  });
+}
+
+// Guards against releasing a run without the operator's confirmation, or
+// another run than the one shown.
+TEST_CASE("a release names the run in the view")
+{
+  OperatorsFixture fixture;
+  fixture.Put("zoneview", "n-a", ZoneViewToJson(View("n-a", "n-a-1")));
+  fixture.Run([&]() -> Awaitable<void> {
+    CommandOptions options;
+    options.mPatience = kPatience;
+    auto result = co_await ReleaseInstance(*fixture.mClient, options, "n-a-1");
+    CHECK(result.mExit == ExitCode::Usage);
+    CHECK(!fixture.mServer.Table().Get("release", "n-a-1"));
+    options.mYes = true;
+    result = co_await ReleaseInstance(*fixture.mClient, options, "n-a-1");
+    CHECK(result.mExit == ExitCode::Ok);
+    CHECK(*fixture.mServer.Table().Get("release", "n-a-1")->mValue ==
+          R"({"incarnation":77})");
+    result = co_await ReleaseInstance(*fixture.mClient, options, "n-a-1");
+    CHECK(fixture.mServer.Calls("put") == 1);
+  });
+}
--- a/tools/pollenwayctl/KeyCommands.cpp
+++ b/tools/pollenwayctl/KeyCommands.cpp
@@ -166,6 +166,10 @@
     NoteAnswer(result, targets, n, answers[n]);
     allAnswered = allAnswered && answers[n];
   }
+  if (answers.empty()) {
+    result.Line("no entry instance is known: only the configuration carries "
+                "the withdrawal");
+  }
   bool allZones = true;
   for (const auto& [zone, isConfirmed] : targets.mConfirmed) {
     result.mDocument["zones"][zone.Text()] = isConfirmed;
