--- a/src/AdmitMessage.h
+++ b/src/AdmitMessage.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace pollenway {
 
@@ -21,8 +22,9 @@
   bool mFromOwner = false;
   /// Tokens wanted. One is needed; the others are given if there are plenty.
   uint32_t mCount = 1;
-  /// A part of a token is welcome (the sender collects parts from zones).
-  bool mPartial = false;
+  /// The sender has a share of its own, so it gets only what the owner can
+  /// spare.
+  bool mHasShare = false;
   /// Time after the answer was decided during which tokens may be used.
   Duration mValidity{};
   /// The sender will use no more token of its requests up to this one.
@@ -32,6 +34,20 @@
   uint64_t mDecidedBefore = 0;
   /// Requests per second of the sender's zone if it is an owner.
   double mDemand = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mId,
+                    aSelf.mFrom,
+                    aSelf.mZone,
+                    aSelf.mFromOwner,
+                    aSelf.mCount,
+                    aSelf.mHasShare,
+                    aSelf.mValidity,
+                    aSelf.mSettled,
+                    aSelf.mDecidedBefore,
+                    aSelf.mDemand);
+  }
 };
 
 /// The body of the peer message `AdmitReply`.
@@ -42,8 +58,8 @@
   ZoneName mZone{};
   /// Ok, RateExceeded or LimitOwnerUnavailable.
   ResultCode mCode = ResultCode::RateExceeded;
-  /// Tokens granted; a whole number unless parts were welcome.
-  double mGranted = 0;
+  /// Tokens granted.
+  uint32_t mGranted = 0;
   /// Time between receiving the request and deciding the answer. The sender
   /// may use the tokens until sent + held + validity on its own clock, which
   /// is never later than the owner's decided + validity.
@@ -57,6 +73,20 @@
   /// for; empty for none.
   ZoneName mAskInstead{};
   Duration mAskInsteadValidity{};
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mId,
+                    aSelf.mZone,
+                    aSelf.mCode,
+                    aSelf.mGranted,
+                    aSelf.mHeld,
+                    aSelf.mTokens,
+                    aSelf.mDemand,
+                    aSelf.mRetryAfter,
+                    aSelf.mAskInstead,
+                    aSelf.mAskInsteadValidity);
+  }
 };
 
 /// Allowance for different clock rates: a giver counts granted tokens for
