--- a/tools/pollenwayctl/FleetCommands.cpp
+++ b/tools/pollenwayctl/FleetCommands.cpp
@@ -1,10 +1,12 @@
 #include "FleetCommands.h"
 
 #include "FleetView.h"
-#include "HomeMapEdit.h"
+#include "HomeMap.h"
 #include "InventoryTexts.h"
 #include "JsonParse.h"
 
+#include <algorithm>
+
 namespace pollenway {
 
 namespace {
@@ -82,6 +84,14 @@
     Error{ ResultCode::InvalidState, std::move(aDetail), {} });
 }
 
+unsigned CountPartitions(const HomeMap& aMap, const ZoneName& aZone)
+{
+  return unsigned(std::count_if(
+    aMap.mPartitions.begin(), aMap.mPartitions.end(), [&](const auto& aOne) {
+      return aOne.mZone == aZone;
+    }));
+}
+
 /// Adds the result of a write to what the command has to say.
 CommandResult NoteWrite(CommandResult aResult,
                         const StoreWrite& aWrite,
@@ -275,27 +285,28 @@
         "--zone_is_terminated overrides this");
     }
   }
-  auto edit =
-    HomeMapEdit::Move(map.value().mValue, ZoneName(aFrom), to, target->mNumber);
-  if (!edit) {
-    co_return CommandResult::Failure(edit.error());
+  auto old = HomeMapFromJson(map.value().mValue);
+  if (!old) {
+    co_return CommandResult::Failure(old.error());
   }
+  const unsigned moved = CountPartitions(old.value(), ZoneName(aFrom));
   CommandResult result;
-  result.mDocument["moved"] = edit.value().mMoved;
-  if (edit.value().mMoved == 0) {
+  result.mDocument["moved"] = moved;
+  if (moved == 0) {
     result.Line("no changes");
     co_return result;
   }
+  std::vector<ZoneStart> targets;
+  targets.push_back(ZoneStart{ to, target->mNumber });
+  const HomeMap next = MoveHomes(old.value(), ZoneName(aFrom), targets);
+  const std::string text = HomeMapToJson(next);
+  const auto condition = StoreCondition::AtVersion(map.value().mVersion);
   auto write = co_await aStore.PutConfirmed(
-    kHomeKind,
-    kHomeName,
-    edit.value().mText,
-    StoreCondition::AtVersion(map.value().mVersion),
-    aOptions.mPatience);
+    kHomeKind, kHomeName, text, condition, aOptions.mPatience);
   co_return NoteWrite(std::move(result),
                       write,
-                      "moved " + std::to_string(edit.value().mMoved) +
-                        " partitions from " + aFrom + " to " + aTo);
+                      "moved " + std::to_string(moved) + " partitions from " +
+                        aFrom + " to " + aTo);
 }
 
 Awaitable<CommandResult> GuideZoneRemoval(ObjectStore& aStore,
@@ -324,7 +335,14 @@
   }
   const ZoneView* view = fleet.value().Find(zone);
   const size_t members = view ? view->mMembers.size() : 0;
-  const unsigned homes = map ? HomeMapEdit::Count(map.value().mValue, zone) : 0;
+  unsigned homes = 0;
+  if (map) {
+    auto parsed = HomeMapFromJson(map.value().mValue);
+    if (!parsed) {
+      co_return CommandResult::Failure(parsed.error());
+    }
+    homes = CountPartitions(parsed.value(), zone);
+  }
   CommandResult result;
   result.mDocument = { { "zone", aZone },
                        { "declared", isDeclared },
