--- a/tools/pollenwayctl/FleetCommands.cpp
+++ b/tools/pollenwayctl/FleetCommands.cpp
@@ -6,6 +6,7 @@
 #include "JsonParse.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pollenway {
 
@@ -112,10 +113,15 @@
                                                 FleetView aFleet,
                                                 ZoneName aZone)
 {
-  std::map<std::string, bool> names;
+  std::set<std::string> names;
+  const auto& unreadable = aFleet.mUnreadable;
+  if (std::find(unreadable.begin(), unreadable.end(), aZone) !=
+      unreadable.end()) {
+    co_return "the zone's view can't be read";
+  }
   if (const auto* view = aFleet.Find(aZone)) {
     for (const auto& it : view->mMembers) {
-      names[it.mName.Text()] = true;
+      names.insert(it.mName.Text());
     }
   }
   auto registered = co_await aStore.List("instance");
@@ -126,11 +132,11 @@
     const auto value = nlohmann::json::parse(it.mValue, nullptr, false);
     if (value.is_object() && value.contains("zone") &&
         value["zone"] == aZone.Text()) {
-      names[it.mName] = true;
+      names.insert(it.mName);
     }
   }
   std::string running;
-  for (const auto& [name, known] : names) {
+  for (const auto& name : names) {
     if (aFleet.StateOf(InstanceName(name)) != "terminated") {
       running += (running.empty() ? "" : ", ") + name;
     }
--- a/tools/pollenwayctl/FleetView.cpp
+++ b/tools/pollenwayctl/FleetView.cpp
@@ -46,6 +46,7 @@
     if (view) {
       fleet.mZones.push_back(std::move(view.value()));
     } else {
+      fleet.mUnreadable.push_back(ZoneName(it.mName));
       Error error = view.error();
       error.mPath = "zoneview/" + it.mName + error.mPath;
       fleet.mErrors.push_back(std::move(error));
--- a/tools/pollenwayctl/FleetView.h
+++ b/tools/pollenwayctl/FleetView.h
@@ -11,8 +11,10 @@
 /// The instances as the store and the platform know them.
 struct FleetView
 {
-  /// Zone views by name; unreadable ones are left out and listed as errors.
+  /// Readable zone views, by name.
   std::vector<ZoneView> mZones;
+  /// Zones whose view can't be read, each with an error below.
+  std::vector<ZoneName> mUnreadable;
   /// States of the platform's list, which lags behind, by name.
   std::map<std::string, std::string> mListed;
   std::vector<Error> mErrors;
--- a/tools/pollenwayctl/KeyCommands.cpp
+++ b/tools/pollenwayctl/KeyCommands.cpp
@@ -57,6 +57,9 @@
       }
     }
   }
+  for (const auto& it : fleet.value().mUnreadable) {
+    targets.mConfirmed[it] = false;
+  }
   for (const auto& it : targets.mEndpoints) {
     targets.mZones.push_back(fleet.value().ZoneOf(it.mAddress));
   }
