--- /dev/null
+++ b/src/CommitmentLedger.cpp
@@ -0,0 +1,37 @@
+#include "CommitmentLedger.h"
+
+#include "Assert.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace pollenway {
+
+void CommitmentLedger::Add(double aRate, Duration aLifetime, TimePoint aNow)
+{
+  POLLENWAY_ASSERT(aLifetime <= kMaxLifetime, "lifetime fits the ledger");
+  Total(aNow);
+  // The last bucket that begins before the expiry.
+  const Duration expiry = (aNow + aLifetime).time_since_epoch();
+  const int64_t last =
+    std::max(mFirst, (expiry + kBucket - Duration(1)) / kBucket - 1);
+  mRates[size_t(last) % kBuckets] += aRate;
+  mTotal += aRate;
+}
+
+double CommitmentLedger::Total(TimePoint aNow)
+{
+  const int64_t now = aNow.time_since_epoch() / kBucket;
+  if (now <= mFirst) {
+    return mTotal;
+  }
+  for (int64_t i = mFirst; i < now && i < mFirst + int64_t(kBuckets); ++i) {
+    mRates[size_t(i) % kBuckets] = 0;
+  }
+  mFirst = now;
+  // Summed anew, so that rounding errors don't add up.
+  mTotal = std::accumulate(mRates.begin(), mRates.end(), 0.0);
+  return mTotal;
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/ShareView.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Ids.h"
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace pollenway {
+
+/// A member of a zone's view. A restart has a new incarnation.
+struct ShareMember
+{
+  InstanceName mName;
+  uint64_t mIncarnation = 0;
+
+  auto operator<=>(const ShareMember&) const = default;
+};
+
+/// The numbered member list of the own zone, as `zoneview/<zone>` holds it.
+struct ShareView
+{
+  uint64_t mNumber = 0;
+  std::vector<ShareMember> mMembers;
+};
+
+} // namespace pollenway
