--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -307,6 +307,11 @@
         Send(aZone, ZoneOf(to), receive);
       }
     }
+    if (const auto at = mHolders[aZone]->NextTimer(mNow)) {
+      At(*at - mNow, [=, this] {
+        Perform(aZone, aZone * 3, mHolders[aZone]->OnTimer(mNow, true));
+      });
+    }
     for (const auto& it : aActions.mAsks) {
       Ask(aZone * 3, IndexOf(it.mTo), it.mRequest);
     }
--- a/src/AccountClient.h
+++ b/src/AccountClient.h
@@ -27,7 +27,7 @@
     double mBatchPart = 1;
     Duration mDemandMemory = std::chrono::seconds(1);
     /// An answer that takes longer counts as lost.
-    Duration mAnswerTimeout = std::chrono::milliseconds(600);
+    Duration mAnswerTimeout = std::chrono::seconds(1);
     /// How long an owner's advice to ask another zone is followed.
     Duration mAdviceLife = std::chrono::seconds(10);
   };
--- a/src/AccountHolder.cpp
+++ b/src/AccountHolder.cpp
@@ -184,7 +184,14 @@
       peer->second.mDemandReported = aNow;
       peer->second.mSilentUntil = aNow;
     }
-    GrantToOwner(aRequest, aNow, actions);
+  }
+  // Requests that wait already come first.
+  ServeWaiting(aNow, actions);
+  const bool first = Parked() == 0;
+  if (aRequest.mFromOwner) {
+    if (!first || !TryGrantToOwner(waiting, aNow, actions)) {
+      Refuse(waiting, ResultCode::RateExceeded, aNow, actions);
+    }
     return actions;
   }
   const double requests = 1 + double(aRequest.mDecidedBefore);
@@ -194,7 +201,7 @@
   } else {
     mDemand.Add(requests, aNow);
   }
-  if (TryGrant(waiting, aNow, actions)) {
+  if (first && TryGrant(waiting, aNow, actions)) {
     return actions;
   }
   if (mWaiting.size() >= mOptions.mMaxWaiting) {
@@ -221,7 +228,7 @@
   const Ask ask = it->second;
   mAsks.erase(it);
   PeerZone& peer = mPeers.at(ask.mZone);
-  peer.mReported = ask.mSent + (aNow - ask.mSent) / 2;
+  peer.mReported = aNow - peer.mLatency;
   peer.mReportedTokens = aReply.mTokens;
   peer.mDemand = aReply.mDemand;
   peer.mDemandReported = aNow;
@@ -237,11 +244,14 @@
     // Whole tokens go straight to waiting requests, within the giver's
     // validity: a zone whose depth is below 1 can't keep them.
     uint32_t left = aReply.mGranted;
-    while (left > 0 && !mWaiting.empty()) {
-      PassOn(mWaiting.front(), until, aNow, actions);
-      mWaiting.erase(mWaiting.begin());
+    std::erase_if(mWaiting, [&](const Waiting& aWaiting) {
+      if (left == 0) {
+        return false;
+      }
+      PassOn(aWaiting, until, aNow, actions);
       --left;
-    }
+      return true;
+    });
     mBucket.Put(left, aNow);
     ServeWaiting(aNow, actions);
   }
@@ -273,6 +283,7 @@
     ContinueWaiting(it, aNow, actions);
   }
   std::erase_if(mWaiting, [&](const Waiting& aWaiting) {
+    // A parked request's token is due before.
     if (aNow - aWaiting.mReceived < mOptions.mMaxWait) {
       return false;
     }
@@ -286,6 +297,16 @@
   return actions;
 }
 
+std::optional<TimePoint> AccountHolder::NextTimer(TimePoint aNow)
+{
+  if (Parked() == 0) {
+    return std::nullopt;
+  }
+  const Duration wait = mBucket.TimeUntil(1, aNow);
+  // One nanosecond makes up for rounding towards zero.
+  return aNow + std::min(wait, mOptions.mMaxWait) + Duration(1);
+}
+
 void AccountHolder::ObserveZone(const ZoneName& aZone,
                                 double aPerSecond,
                                 double aTokens,
@@ -373,6 +394,28 @@
   }
 }
 
+size_t AccountHolder::Parked() const
+{
+  return size_t(std::count_if(
+    mWaiting.begin(), mWaiting.end(), [](const Waiting& aWaiting) {
+      return aWaiting.mParked;
+    }));
+}
+
+bool AccountHolder::Park(Waiting& aWaiting, Duration aLimit, TimePoint aNow)
+{
+  if (!IsDividable() || mBucket.Rate() <= 0 ||
+      mWaiting.size() >= mOptions.mMaxWaiting) {
+    return false;
+  }
+  const Duration behind = FromSeconds(double(Parked()) / mBucket.Rate());
+  if (mBucket.TimeUntil(1, aNow) > aLimit - behind) {
+    return false;
+  }
+  aWaiting.mParked = true;
+  return true;
+}
+
 bool AccountHolder::IsDividable() const
 {
   return !mBalancer.RestsWithOneZone(mRate, mBurst, mPeers.size() + 1);
@@ -436,7 +479,12 @@
     const double lack = wanted - EstimatedTokens(zone, peer, aNow);
     best = std::min(best, FromSeconds(std::max(0.0, lack) / rate));
   }
-  return best == Duration::max() ? kUnknownRetry : best;
+  if (best == Duration::max()) {
+    return kUnknownRetry;
+  }
+  // A request that comes this much earlier waits instead.
+  const Duration wait = IsDividable() ? mOptions.mShortWait : Duration{};
+  return std::max(best - wait, Duration::zero());
 }
 
 bool AccountHolder::TryGrant(const Waiting& aWaiting,
@@ -476,30 +524,33 @@
   return true;
 }
 
-void AccountHolder::GrantToOwner(const AdmitRequest& aRequest,
-                                 TimePoint aNow,
-                                 Actions& aActions)
+bool AccountHolder::TryGrantToOwner(const Waiting& aWaiting,
+                                    TimePoint aNow,
+                                    Actions& aActions)
 {
+  const AdmitRequest& request = aWaiting.mRequest;
   const double kept =
-    aRequest.mHasShare ? mOptions.mKeptPart * mBucket.Depth() : 0;
+    request.mHasShare ? mOptions.mKeptPart * mBucket.Depth() : 0;
   const double tokens = mBucket.Tokens(aNow) - kept;
-  uint32_t count = 0;
-  if (tokens + kRounding >= 1) {
-    const double extra = std::min(double(aRequest.mCount) - 1,
-                                  (tokens - 1) * mOptions.mOwnerExtraPart);
-    count = 1 + uint32_t(std::max(0.0, extra));
-  }
-  const Duration validity = std::min(aRequest.mValidity, kMaxGrantValidity);
-  const bool granted = count > 0 && mBucket.TakeHeld(count,
-                                                     aNow,
-                                                     aNow + HoldTime(validity),
-                                                     HolderKey(aRequest),
-                                                     aRequest.mId);
-  AdmitReply reply = MakeReply(
-    aRequest, granted ? ResultCode::Ok : ResultCode::RateExceeded, aNow);
-  reply.mGranted = granted ? count : 0;
-  reply.mHeld = validity - aRequest.mValidity;
-  aActions.mReplies.push_back({ aRequest.mFrom, true, reply });
+  if (tokens + kRounding < 1) {
+    return false;
+  }
+  const double extra = std::min(double(request.mCount) - 1,
+                                (tokens - 1) * mOptions.mOwnerExtraPart);
+  const uint32_t count = 1 + uint32_t(std::max(0.0, extra));
+  const Duration validity = std::min(request.mValidity, kMaxGrantValidity);
+  if (!mBucket.TakeHeld(count,
+                        aNow,
+                        aNow + HoldTime(validity),
+                        HolderKey(request),
+                        request.mId)) {
+    return false;
+  }
+  AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
+  reply.mGranted = count;
+  reply.mHeld = aNow - aWaiting.mReceived - (request.mValidity - validity);
+  aActions.mReplies.push_back({ request.mFrom, true, reply });
+  return true;
 }
 
 void AccountHolder::PassOn(const Waiting& aWaiting,
@@ -533,6 +584,12 @@
                             Actions& aActions)
 {
   const ZoneName* zone = NextCandidate(aWaiting, aNow);
+  // Waiting for an own token is as quick as asking a remote zone, and free.
+  const Duration limit =
+    zone ? 2 * mPeers.at(*zone).mLatency : mOptions.mShortWait;
+  if (Park(aWaiting, limit, aNow)) {
+    return true;
+  }
   if (!zone) {
     const bool silent =
       std::any_of(mPeers.begin(), mPeers.end(), [&](const auto& aPeer) {
--- a/src/AccountHolder.h
+++ b/src/AccountHolder.h
@@ -35,19 +35,23 @@
     Duration mReportLife = std::chrono::seconds(10);
     /// An owner that does not answer in this time is not asked for
     /// mSilentPause, then once more.
-    Duration mAnswerTimeout = std::chrono::milliseconds(250);
+    Duration mAnswerTimeout = std::chrono::milliseconds(400);
     Duration mSilentPause = std::chrono::seconds(2);
     /// Longest time that a request waits for tokens of other zones.
-    Duration mMaxWait = std::chrono::milliseconds(500);
+    Duration mMaxWait = std::chrono::milliseconds(600);
+    /// A request to a divided workspace is not refused if the zone's bucket
+    /// will have a token for it within this time. Without the wait, tokens that
+    /// are held while they are on the way between regions cause wrongful
+    /// refusals.
+    Duration mShortWait = std::chrono::milliseconds(200);
     size_t mMaxWaiting = 1000;
     /// Allowance in an exchange's validity beyond the round trip.
-    Duration mExchangeSlack = std::chrono::milliseconds(40);
+    Duration mExchangeSlack = std::chrono::milliseconds(10);
     /// Part of the depth that is asked for when a bucket is empty.
     double mExchangePart = 0.5;
     /// Part of the depth that is not given to an owner with its own share.
-    /// Without it, owners under overload pass the same tokens round, and each
-    /// exchange counts them twice while its validity lasts.
-    double mKeptPart = 0.25;
+    /// More than 0 raises wrongful refusals (docs/notes/fleet-limits.md).
+    double mKeptPart = 0;
     /// Part of the tokens beyond the first that goes to one request.
     double mOwnerExtraPart = 0.5;
     double mBatchExtraPart = 0.25;
@@ -127,6 +131,10 @@
   /// 100 ms or so.
   Actions OnTimer(TimePoint aNow, bool aLeaseValid);
 
+  /// When to call `OnTimer` at the latest, because a request waits for a token
+  /// of this bucket; none if no request does.
+  std::optional<TimePoint> NextTimer(TimePoint aNow);
+
   /// A zone's demand and tokens, from a heartbeat.
   void ObserveZone(const ZoneName& aZone,
                    double aPerSecond,
@@ -178,6 +186,8 @@
     AdmitRequest mRequest;
     TimePoint mReceived;
     std::set<ZoneName> mAsked{};
+    /// Waits for a token of this bucket, not for another zone's answer.
+    bool mParked = false;
   };
 
   struct Ask
@@ -193,6 +203,7 @@
   void Start(TokenBucket aBucket, TimePoint aNow);
   void Apply(TimePoint aNow);
   bool IsDividable() const;
+  size_t Parked() const;
   double DepthOf(const ZoneName& aZone) const;
   double EstimatedTokens(const ZoneName& aZone,
                          const PeerZone& aPeer,
@@ -202,9 +213,11 @@
   Duration RetryAfter(TimePoint aNow);
   /// False if there is not a whole token.
   bool TryGrant(const Waiting& aWaiting, TimePoint aNow, Actions& aActions);
-  void GrantToOwner(const AdmitRequest& aRequest,
-                    TimePoint aNow,
-                    Actions& aActions);
+  bool TryGrantToOwner(const Waiting& aWaiting,
+                       TimePoint aNow,
+                       Actions& aActions);
+  /// Lets the request wait if a token will be there soon enough.
+  bool Park(Waiting& aWaiting, Duration aLimit, TimePoint aNow);
   void PassOn(const Waiting& aWaiting,
               TimePoint aUntil,
               TimePoint aNow,
@@ -213,7 +226,8 @@
               ResultCode aCode,
               TimePoint aNow,
               Actions& aActions);
-  /// Asks the next candidate or refuses; true if the request still waits.
+  /// Asks the next candidate, parks or refuses; true if the request still
+  /// waits.
   bool AskNext(Waiting& aWaiting, TimePoint aNow, Actions& aActions);
   void ContinueWaiting(uint64_t aSerial, TimePoint aNow, Actions& aActions);
   void ServeWaiting(TimePoint aNow, Actions& aActions);
--- a/src/AdmitMessage.h
+++ b/src/AdmitMessage.h
@@ -17,7 +17,7 @@
   InstanceName mFrom{};
   ZoneName mZone{};
   /// Sent by the account owner of `mZone` for its own bucket, not by an
-  /// instance for itself. Such a request is answered at once.
+  /// instance for itself. Such a request is not passed on to other zones.
   bool mFromOwner = false;
   /// Tokens wanted. One is needed; the others are given if there are plenty.
   uint32_t mCount = 1;
--- a/src/ShareBalancer.h
+++ b/src/ShareBalancer.h
@@ -54,13 +54,11 @@
 public:
   struct Options
   {
-    /// A workspace rests with one zone if its rate is below this (1/s), that
-    /// is if it has fewer than 10 tokens each 100 ms. Divided, it wrongly
-    /// refuses several percent (docs/notes/fleet-limits.md).
-    double mMinRate = 100;
-    /// It also rests with one zone if its burst is below this number of tokens
-    /// for each zone.
+    /// A workspace rests with one zone if its burst is below this number of
+    /// tokens for each zone: a depth below 1 never holds a token.
     double mMinBurstPerZone = 2;
+    /// It also rests with one zone if its rate is below this (1/s).
+    double mMinRate = 0;
     /// Part of the whole that each zone keeps whatever its demand
     /// (millionths): of divided workspaces, and of those that rest with one
     /// zone. A reserve serves a zone that had no demand before it was cut off;
