Fix the read of a wrongly typed boolean in peer messages

Cause: the decoder read the boolean of a value before it checked that the value is one; with damaged bytes that is undefined behaviour.

Change: the type is checked first. Loads of targets that nobody has reported for a minute are forgotten, so that the table does not grow.

--- a/src/MembershipTable.cpp
+++ b/src/MembershipTable.cpp
@@ -15,6 +15,8 @@
 // far below the highest frame size.
 constexpr size_t kMaxWithdrawals = 3000;
 constexpr size_t kMaxLoads = 256;
+// Loads of targets that no slot owner reports any more are forgotten.
+constexpr Duration kLoadLifetime = std::chrono::minutes(1);
 
 } // namespace
 
@@ -303,6 +305,9 @@
   Wrap(aNow, mZone->Tick(aNow), out);
   if (aNow >= mNextHeartbeatAt) {
     mNextHeartbeatAt = aNow + mOptions.mZone.mHeartbeatInterval;
+    std::erase_if(mLoads, [&](const auto& aLoad) {
+      return aNow >= aLoad.second.mObservedAt + kLoadLifetime;
+    });
     SendRemoteHeartbeats(aNow, out);
   }
   return out;
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -190,8 +190,11 @@
   } else if constexpr (std::is_same_v<T, std::string>) {
     return UnpackText(aIn, aValue);
   } else if constexpr (std::is_same_v<T, bool>) {
+    if (aIn.type != msgpack::type::BOOLEAN) {
+      return false;
+    }
     aValue = aIn.via.boolean;
-    return aIn.type == msgpack::type::BOOLEAN;
+    return true;
   } else if constexpr (std::is_same_v<T, double>) {
     if (aIn.type != msgpack::type::FLOAT64) {
       return false;
