Keep replies of other parts out of the membership table

Cause: replies are matched against the table's own requests, so that one of another kind passed to it would be dropped as mismatched.

Change: MakeRequest is private; the header says that other parts match their replies with their own PendingRequests.

--- a/src/MembershipTable.h
+++ b/src/MembershipTable.h
@@ -63,8 +63,9 @@
 
   /// Handles a message of the kinds Heartbeat(Reply), Join, FetchConfiguration,
   /// Configuration, Withdrawals, EvictConfirm(Reply), Leaving, FetchView and
-  /// View. Other kinds belong to other parts and are ignored. A reply goes
-  /// back on the link of its request if the sender's address is not known.
+  /// View. Other kinds belong to other parts, which match their replies with
+  /// `PendingRequests` objects of their own; do not pass them here. A reply
+  /// goes back on the link of its request if the sender's address is not known.
   MembershipActions Handle(TimePoint aNow, const PeerMessage& aMessage);
 
   // See `ZoneMembership`.
@@ -105,12 +106,6 @@
   std::vector<ZoneConfirmation> WithdrawalReport() const;
   const PendingRequests& Pending() const { return *mPending; }
 
-  /// Fills envelope and request id of a request that other parts send.
-  PeerMessage MakeRequest(TimePoint aNow,
-                          const ZoneMember& aTo,
-                          PeerBody aBody,
-                          PeerKind aReplyKind);
-
 private:
   struct Peer
   {
@@ -126,6 +121,10 @@
   };
 
   void Wrap(TimePoint aNow, MembershipActions aIn, MembershipActions& aOut);
+  PeerMessage MakeRequest(TimePoint aNow,
+                          const ZoneMember& aTo,
+                          PeerBody aBody,
+                          PeerKind aReplyKind);
   void Send(TimePoint aNow,
             const ZoneMember& aTo,
             PeerBody aBody,
