Read the load of health reports as a share of the slots

Cause: the probe expected a number of requests, targets report a share, so an evicted owner's slots were freed by the timeout only. Change: load times slots, rounded up; allotments are logged at debug level.

--- a/src/LimitService.cpp
+++ b/src/LimitService.cpp
@@ -313,6 +313,12 @@
   auto parsed = Allotment::Parse(aValue);
   if (it != mAccounts.end() && parsed) {
     it->second.mHolder->OnCommitted(parsed.value(), SteadyNow());
+    Log(LogLevel::Debug,
+        "allotment_committed",
+        { { "workspace", aWorkspace },
+          { "version", parsed.value().Version() },
+          { "fraction", it->second.mHolder->Balancer().UsableFraction() },
+          { "active", it->second.mHolder->IsActive() } });
   }
 }
 
--- a/src/TargetMonitor.cpp
+++ b/src/TargetMonitor.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace pollenway {
 
 namespace {
@@ -318,8 +320,13 @@
   const std::string state = body.value("state", std::string());
   const bool draining = state == "draining";
   auto& slots = mDispatcher.Slots();
-  if (body.contains("load") && body["load"].is_number_unsigned()) {
-    slots.OnLoadReport(aName, body["load"].get<unsigned>(), sent, now);
+  // The load is a share of the slots that the target states.
+  if (body.contains("load") && body["load"].is_number() &&
+      body.contains("slots") && body["slots"].is_number_unsigned()) {
+    const double inUse =
+      body["load"].get<double>() * body["slots"].get<unsigned>();
+    slots.OnLoadReport(
+      aName, unsigned(std::max(0.0, std::ceil(inUse - 1e-6))), sent, now);
   }
   if (draining != it->second.mDraining) {
     Log(LogLevel::Info,
