--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -27,7 +27,6 @@
 
 constexpr size_t kZones = 6;
 constexpr size_t kInstances = 17;
-constexpr size_t kNone = SIZE_MAX;
 const Duration kWarmUp = seconds(120);
 
 enum class Policy
--- a/test/correctness/AccountHolder.cpp
+++ b/test/correctness/AccountHolder.cpp
@@ -127,6 +127,45 @@
     *holder.NeededRead(), Allotment::Equal({ kZone, kOther }), later);
   CHECK(holder.Balancer().UsableFraction() == low);
   CHECK(holder.NextWrite(later + seconds(2), true));
+
+  AccountHolder::Actions actions;
+  const auto answer = holder.HandOver(2, later, actions);
+  REQUIRE(answer);
+  AccountHolder next = MakeHolder();
+  next.BeginTakeover(2, { kSelf }, later);
+  next.OnHandoverAnswer(kSelf, *answer, later);
+  CHECK(next.Balancer().UsableFraction() == low);
+}
+
+// Guards against a write of an evicted predecessor that takes effect late.
+TEST_CASE("a new owner without a handover commits before it uses the share")
+{
+  AccountHolder holder = MakeHolder();
+  const Allotment read = Allotment::Equal({ kZone, kOther });
+  holder.BeginTakeover(1, {}, kStart);
+  holder.OnStoreRead(*holder.NeededRead(), read, kStart);
+  CHECK(holder.Balancer().UsableFraction() == 0);
+  const auto write = holder.NextWrite(kStart, true);
+  REQUIRE(write);
+  CHECK(write->mBaseVersion == read.Version());
+  CHECK(write->mValue.Fractions() == read.Fractions());
+  holder.OnWriteResult(write->mSerial, WriteOutcome::Committed, kStart);
+  CHECK(holder.Balancer().UsableFraction() == Allotment::kWhole / 2);
+}
+
+// Guards against using tokens of another zone that it counts as expired.
+TEST_CASE("tokens of a late answer of another owner are dropped")
+{
+  AccountHolder holder = Started();
+  holder.ObserveZone(kOther, 1, 4, kStart);
+  const auto asked = holder.Admit(Request(1), kStart, true);
+  REQUIRE(asked.mAsks.size() == 1);
+  const AdmitReply reply{ .mId = asked.mAsks[0].mRequest.mId,
+                          .mZone = kOther,
+                          .mCode = ResultCode::Ok,
+                          .mGranted = 1 };
+  const TimePoint late = kStart + asked.mAsks[0].mRequest.mValidity;
+  CHECK(Granted(holder.OnReply(reply, late, true)) == 0);
 }
 
 // Guards against adopting an older allotment or total (I10).
