--- a/src/SlotTable.cpp
+++ b/src/SlotTable.cpp
@@ -119,6 +119,7 @@
   }
   entry->mAwaiting = false;
   entry->mReportedDraining = entry->mReportedDraining || aHandover.mDraining;
+  std::vector<Use> uses;
   for (const auto& it : aHandover.mUses) {
     Use use{ .mOwner = it.mOwner,
              .mSlots = it.mSlots,
@@ -136,6 +137,19 @@
       use.mConnections -= std::min(use.mConnections, entry->mOpen);
       use.mUntil = aNow + entry->mLimits.mTimeout;
     }
+    auto same = std::find_if(uses.begin(), uses.end(), [&](const Use& aUse) {
+      return aUse.mOwner == use.mOwner;
+    });
+    if (same == uses.end()) {
+      uses.push_back(std::move(use));
+    } else {
+      // Several owners that are gone.
+      same->mSlots += use.mSlots;
+      same->mConnections += use.mConnections;
+      same->mUntil = std::max(same->mUntil, use.mUntil);
+    }
+  }
+  for (auto& use : uses) {
     auto known =
       std::find_if(entry->mUses.begin(),
                    entry->mUses.end(),
