Let a zone finish its fence when another zone created the allotment

Cause: a zone that had read that the allotment was absent, and then saw another zone's by the watch, had no base for its fence and never used its share. A protected request that was refused was reported as ended and ended the process. Change: such a zone reads again; a request that has not started is given up.

--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -341,8 +341,7 @@
         mObject = write->mValue;
       }
       holder.OnWriteResult(write->mSerial,
-                           ok ? MoveOutcome::Committed
-                              : MoveOutcome::Conflict,
+                           ok ? MoveOutcome::Committed : MoveOutcome::Conflict,
                            mNow);
     }
     if (mObject) {
--- a/src/HomeService.h
+++ b/src/HomeService.h
@@ -40,7 +40,8 @@
   std::shared_ptr<Protected> Make(RecordKey aKey, uint64_t aFingerprint);
   /// True once, if the request may be sent to a backend server now.
   bool TryStart(Protected& aRequest);
-  /// Reports the end to the home, repeatedly, without waiting for it.
+  /// Reports the end to the home, repeatedly, without waiting for it. A request
+  /// that has not started is given up, whatever the ending.
   void End(std::shared_ptr<Protected> aRequest,
            RecordEnding aEnding,
            std::string aAnswer);
--- a/src/LimitService.cpp
+++ b/src/LimitService.cpp
@@ -12,6 +12,7 @@
 /// Longest wait for an owner, which may in turn ask other zones' owners.
 constexpr auto kAdmitTimeout = std::chrono::milliseconds(600);
 constexpr auto kHandoverTimeout = std::chrono::milliseconds(90);
+constexpr auto kLeastTimer = std::chrono::milliseconds(1);
 constexpr double kZoneLatencyMs = 0.5;
 
 constexpr char kAllotmentKind[] = "allotment";
@@ -35,6 +36,8 @@
   InstanceName mOwner;
   /// Last view of the zone in which this instance is the owner.
   uint64_t mView = 0;
+  /// The time for which a timer of the holder runs.
+  std::optional<TimePoint> mNextTimer;
   bool mReading = false;
   bool mWriting = false;
 };
@@ -253,6 +256,11 @@
     co_return;
   }
   it->second.mReading = false;
+  Log(LogLevel::Debug,
+      "allotment_read",
+      { { "workspace", aWorkspace.Text() },
+        { "serial", aSerial },
+        { "found", bool(object) } });
   if (!object && object.error().mCode != ResultCode::NotFound) {
     co_return;
   }
@@ -303,6 +311,11 @@
     co_return;
   }
   it->second.mWriting = false;
+  Log(LogLevel::Debug,
+      "allotment_written",
+      { { "workspace", aWorkspace.Text() },
+        { "base", aWrite.mBaseVersion },
+        { "outcome", int(outcome) } });
   it->second.mHolder->OnWriteResult(aWrite.mSerial, outcome, SteadyNow());
 }
 
@@ -336,6 +349,39 @@
   for (auto& it : aActions.mAsks) {
     Spawn(mExecutor, AskZone(aWorkspace, std::move(it)));
   }
+  ScheduleTimer(aWorkspace);
+}
+
+void LimitService::ScheduleTimer(const WorkspaceName& aWorkspace)
+{
+  const auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end() || mStopping) {
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  const auto next = it->second.mHolder->NextTimer(now);
+  if (!next || (it->second.mNextTimer && *it->second.mNextTimer <= *next)) {
+    return;
+  }
+  it->second.mNextTimer = *next;
+  Spawn(mExecutor, RunTimer(aWorkspace, *next));
+}
+
+Awaitable<void> LimitService::RunTimer(WorkspaceName aWorkspace, TimePoint aAt)
+{
+  // Never sooner than a millisecond, so that a holder whose time has come can't
+  // keep the process busy.
+  const Duration wait = std::max<Duration>(aAt - SteadyNow(), kLeastTimer);
+  asio::steady_timer timer(mExecutor, wait);
+  ErrorCode ec;
+  co_await timer.async_wait(Into(ec));
+  const auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end() || it->second.mNextTimer != aAt) {
+    co_return;
+  }
+  it->second.mNextTimer.reset();
+  Carry(aWorkspace,
+        it->second.mHolder->OnTimer(SteadyNow(), mMembership.MayUse()));
 }
 
 Awaitable<void> LimitService::AskZone(WorkspaceName aWorkspace,
--- a/src/LimitService.h
+++ b/src/LimitService.h
@@ -94,6 +94,8 @@
   Awaitable<void> ReadAllotment(WorkspaceName aWorkspace, uint64_t aSerial);
   Awaitable<void> WriteAllotment(WorkspaceName aWorkspace,
                                  AllotmentWrite aWrite);
+  void ScheduleTimer(const WorkspaceName& aWorkspace);
+  Awaitable<void> RunTimer(WorkspaceName aWorkspace, TimePoint aAt);
   void Carry(const WorkspaceName& aWorkspace, AccountHolder::Actions aActions);
   void AskForHandovers(const WorkspaceName& aWorkspace,
                        const Account& aAccount);
--- a/src/ShareBalancer.cpp
+++ b/src/ShareBalancer.cpp
@@ -77,6 +77,11 @@
   mCommitted = aCommitted;
   POLLENWAY_ASSERT(mCommitted->Version() > before,
                    "an allotment's version went back");
+  if (mAbsent && mFenceRequired && mFenceBase == 0) {
+    // Another zone created the object after this one read that it was absent.
+    // Without another read there would be no base for the fence.
+    RequireRead();
+  }
   mAbsent = false;
   if (mPending && aCommitted.Version() > mPending->mWrite.mBaseVersion) {
     mPending.reset();
--- a/test/correctness/AccountHolder.cpp
+++ b/test/correctness/AccountHolder.cpp
@@ -29,7 +29,7 @@
   holder.OnStoreRead(*holder.NeededRead(), std::nullopt, kStart);
   const auto write = holder.NextWrite(kStart, true);
   REQUIRE(write);
-  holder.OnWriteResult(write->mSerial, WriteOutcome::Committed, kStart);
+  holder.OnWriteResult(write->mSerial, MoveOutcome::Committed, kStart);
   return holder;
 }
 
@@ -120,7 +120,7 @@
   const TimePoint later = now + milliseconds(200);
   const auto write = holder.NextWrite(later, true);
   REQUIRE(write);
-  holder.OnWriteResult(write->mSerial, WriteOutcome::Unknown, later);
+  holder.OnWriteResult(write->mSerial, MoveOutcome::Unknown, later);
   const uint32_t low = holder.Balancer().UsableFraction();
   CHECK(low == write->mValue.Fraction(kZone));
   holder.OnStoreRead(
@@ -149,7 +149,7 @@
   REQUIRE(write);
   CHECK(write->mBaseVersion == read.Version());
   CHECK(write->mValue.Fractions() == read.Fractions());
-  holder.OnWriteResult(write->mSerial, WriteOutcome::Committed, kStart);
+  holder.OnWriteResult(write->mSerial, MoveOutcome::Committed, kStart);
   CHECK(holder.Balancer().UsableFraction() == Allotment::kWhole / 2);
 }
 
--- a/test/correctness/FleetLimitsRandom.cpp
+++ b/test/correctness/FleetLimitsRandom.cpp
@@ -445,8 +445,7 @@
       if (!lost) {
         answer([=, this](AccountHolder& aTo) {
           aTo.OnWriteResult(write->mSerial,
-                            ok ? MoveOutcome::Committed
-                               : MoveOutcome::Conflict,
+                            ok ? MoveOutcome::Committed : MoveOutcome::Conflict,
                             Local(mNodes[to]));
         });
       }
