Decide look-ups by headroom, shifts and place states

Cause: look-ups named instances of the nearest region whatever its headroom, so shifts and drained places had no effect. Change: SteeringService runs LookupPolicy; instances lend each other headroom by a Steering message twice a second; ETag and If-None-Match; client= only from trusted resolvers.

--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -5,7 +5,6 @@
 #include "HttpHeaders.h"
 #include "Logger.h"
 #include "NetworkPrefix.h"
-#include "RendezvousHash.h"
 #include "SteadyTime.h"
 #include "StoredAnswer.h"
 
@@ -17,7 +16,6 @@
 
 /// Bodies up to this size are kept whole, so that they can be sent again.
 constexpr size_t kKeptBodyBytes = 64 * 1024;
-constexpr size_t kInstancesInAnswer = 3;
 const beast::string_view kLookupPath = "/.pollenway/lookup";
 
 /// Share of the time left that an attempt may take if another can follow. A
@@ -83,12 +81,14 @@
                                MembershipService& aMembership,
                                LimitService& aLimits,
                                HomeService& aHomes,
+                               SteeringService& aSteering,
                                BackendDispatcher& aDispatcher,
                                ForwarderOptions aOptions)
   : mFleet(aFleet)
   , mMembership(aMembership)
   , mLimits(aLimits)
   , mHomes(aHomes)
+  , mSteering(aSteering)
   , mDispatcher(aDispatcher)
   , mRelay(aExecutor, aOptions)
   , mServer(aExecutor, {}, [this](HttpConnection& aConnection) {
@@ -137,6 +137,23 @@
   }
 }
 
+IpAddress CallerFrontend::ClientOf(const HttpConnection& aConnection,
+                                   const std::string& aClaimed) const
+{
+  const std::string peer = aConnection.Peer().address().to_string();
+  if (!aClaimed.empty()) {
+    const auto resolver = NetworkPrefix::ParseAddress(peer);
+    auto claimed = IpAddress::Parse(aClaimed);
+    for (const auto& it : mFleet.mSettings.mTrustedResolvers) {
+      if (resolver && claimed && it.Contains(*resolver)) {
+        return claimed.value();
+      }
+    }
+  }
+  auto address = IpAddress::Parse(peer);
+  return address ? address.value() : IpAddress();
+}
+
 Awaitable<void> CallerFrontend::HandleLookup(HttpConnection& aConnection)
 {
   const auto inventory = mFleet.mInventory;
@@ -147,52 +164,44 @@
     co_return;
   }
   const std::string target(aConnection.Header().target());
-  const ServiceName name(QueryParameter(target, "service"));
-  const Service* service = inventory->FindService(name);
-  if (!service) {
-    TextResponse refusal = MakeRefusal(ResultCode::NotFound, "no such service");
+  LookupRequest request;
+  request.mService = ServiceName(QueryParameter(target, "service"));
+  request.mClient = ClientOf(aConnection, QueryParameter(target, "client"));
+  auto workspace = mMembership.Authenticate(BearerKey(aConnection.Header()));
+  if (workspace) {
+    request.mWorkspace = std::move(workspace.value());
+  }
+  const LookupDecision decision = mSteering.Decide(request);
+  if (decision.mCode != ResultCode::Ok) {
+    TextResponse refusal = MakeRefusal(
+      decision.mCode, std::string(Name(decision.mCode)), decision.mRetryAfter);
     co_await aConnection.Write(std::move(refusal));
     co_return;
   }
-  const auto client =
-    NetworkPrefix::ParseAddress(aConnection.Peer().address().to_string());
-  RegionName region = inventory->mRegions.front().mName;
-  std::string block;
-  unsigned longest = 0;
-  for (const auto& it : inventory->mClientBlocks) {
-    const auto prefix = NetworkPrefix::Parse(it.mPrefix);
-    if (prefix && client && prefix->Contains(*client) &&
-        prefix->mLength >= longest) {
-      longest = prefix->mLength;
-      region = it.mRegion;
-      block = it.mPrefix;
-    }
-  }
-  std::vector<InstanceName> names;
-  for (const auto& it : mFleet.mDirectory.All()) {
-    const Region* itsRegion = inventory->RegionOfZone(it.mZone);
-    if (!it.mLeaving && itsRegion && itsRegion->mName == region) {
-      names.push_back(it.mName);
-    }
+  const std::string tag = '"' + decision.mVersion + '"';
+  if (aConnection.Header()[http::field::if_none_match] == tag) {
+    mLastLookup = SteadyNow();
+    TextResponse unchanged(http::status::not_modified, 11);
+    unchanged.set(http::field::etag, tag);
+    co_await aConnection.Write(std::move(unchanged));
+    co_return;
   }
   nlohmann::json instances = nlohmann::json::array();
-  for (const auto& it : RankByRendezvous(name.Text() + block, names)) {
-    const auto* info = mFleet.mDirectory.Find(it);
-    instances.push_back({ { "address", info->mAddress },
-                          { "port", info->mCallerPort },
-                          { "weight", 1 } });
-    if (instances.size() == kInstancesInAnswer) {
-      break;
-    }
+  for (const auto& it : decision.mInstances) {
+    instances.push_back({ { "address", it.mAddress },
+                          { "port", it.mPort },
+                          { "weight", it.mWeight } });
   }
   const auto ttl =
-    std::chrono::duration_cast<std::chrono::milliseconds>(service->mLookupTtl);
-  const nlohmann::json body = { { "version", inventory->mGeneration },
+    std::chrono::duration_cast<std::chrono::milliseconds>(decision.mTtl);
+  const nlohmann::json body = { { "version", decision.mVersion },
                                 { "ttl_ms", ttl.count() },
-                                { "region", region.Text() },
+                                { "region", decision.mRegion.Text() },
+                                { "zone", decision.mZone.Text() },
                                 { "instances", instances } };
   mLastLookup = SteadyNow();
   TextResponse answer = MakeJsonAnswer(http::status::ok, body.dump() + "\n");
+  answer.set(http::field::etag, tag);
   co_await aConnection.Write(std::move(answer));
 }
 
--- a/src/CallerFrontend.h
+++ b/src/CallerFrontend.h
@@ -7,6 +7,7 @@
 #include "MembershipService.h"
 #include "RelayClient.h"
 #include "RetryPolicy.h"
+#include "SteeringService.h"
 #include "TargetSelector.h"
 
 #include <map>
@@ -22,6 +23,7 @@
                  MembershipService& aMembership,
                  LimitService& aLimits,
                  HomeService& aHomes,
+                 SteeringService& aSteering,
                  BackendDispatcher& aDispatcher,
                  ForwarderOptions aOptions);
 
@@ -63,12 +65,16 @@
   Awaitable<AttemptResult> Attempt(RequestContext& aRequest,
                                    TargetName aTarget,
                                    Duration aTimeout);
+  /// The caller's address; `aClaimed` is honoured from trusted resolvers.
+  IpAddress ClientOf(const HttpConnection& aConnection,
+                     const std::string& aClaimed) const;
   std::string NextRequestId();
 
   FleetState& mFleet;
   MembershipService& mMembership;
   LimitService& mLimits;
   HomeService& mHomes;
+  SteeringService& mSteering;
   BackendDispatcher& mDispatcher;
   RelayClient mRelay;
   HttpServer mServer;
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -65,6 +65,7 @@
                 MembershipCallbacks())
   , mLimits(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
   , mHomes(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
+  , mSteering(aIo.get_executor(), mFleet, mTransport, mMembership)
   , mDispatcher(aIo.get_executor(),
                 mFleet,
                 MakeForwarderOptions(mFleet.mSettings))
@@ -74,6 +75,7 @@
               mMembership,
               mLimits,
               mHomes,
+              mSteering,
               mDispatcher,
               MakeForwarderOptions(mFleet.mSettings))
   , mRelayServer(aIo.get_executor(), mFleet, mDispatcher)
@@ -85,6 +87,7 @@
   MembershipService::Callbacks out;
   out.mOnInventory = [this] {
     mFrontend.OnInventory();
+    mSteering.OnInventory();
     mLimits.OnInventory();
     mTargets.UpdateOwners();
   };
@@ -93,6 +96,7 @@
   out.mOnRejoin = [this] {
     mLimits.OnRejoin();
     mHomes.OnRejoin();
+    mSteering.OnRejoin();
     mTargets.GiveUpAll();
   };
   return out;
@@ -107,6 +111,7 @@
   mMembership.Start();
   mLimits.Start();
   mHomes.Start();
+  mSteering.Start();
   mTargets.Start();
   Spawn(mIo, LinkLoop());
   Log(LogLevel::Info,
@@ -123,6 +128,7 @@
 {
   mLimits.UpdateOwners();
   mHomes.UpdateDirectory();
+  mSteering.OnDirectory();
   mTargets.UpdateOwners();
 }
 
@@ -148,6 +154,9 @@
   } else if (const auto* slots =
                std::get_if<peer::SlotHandover>(&aMessage.mBody)) {
     out = mTargets.HandleHandover(*slots);
+  } else if (const auto* steering =
+               std::get_if<peer::Steering>(&aMessage.mBody)) {
+    out = mSteering.HandleSummary(*steering);
   } else if (std::holds_alternative<peer::Home>(aMessage.mBody)) {
     mHomes.HandleMessage(aMessage);
   } else if (auto* changed =
--- a/src/EntryServer.h
+++ b/src/EntryServer.h
@@ -8,6 +8,7 @@
 #include "MembershipService.h"
 #include "PeerTransport.h"
 #include "RelayServer.h"
+#include "SteeringService.h"
 #include "StoreClient.h"
 #include "TargetMonitor.h"
 
@@ -41,6 +42,7 @@
   MembershipService mMembership;
   LimitService mLimits;
   HomeService mHomes;
+  SteeringService mSteering;
   BackendDispatcher mDispatcher;
   TargetMonitor mTargets;
   CallerFrontend mFrontend;
--- a/src/PeerBodies.h
+++ b/src/PeerBodies.h
@@ -5,6 +5,7 @@
 #include "HomeMessage.h"
 #include "Ids.h"
 #include "ResultCode.h"
+#include "SteeringSummary.h"
 
 #include <cstdint>
 #include <optional>
@@ -280,6 +281,20 @@
   static auto Fields(auto& aSelf) { return std::tie(aSelf.mMessage); }
 };
 
+/// What steering has to tell a peer, sent about twice a second. The reply
+/// carries the headroom that the receiver lends to the sender.
+struct Steering
+{
+  SteeringSummary mSummary;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mSummary); }
+};
+
+struct SteeringReply
+{
+  std::vector<HeadroomLoan> mLoans;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mLoans); }
+};
+
 /// Asks a grantor to refuse a member from now on.
 struct EvictConfirm
 {
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -31,6 +31,8 @@
   "SlotHandover",
   "SlotHandoverReply",
   "Home",
+  "Steering",
+  "SteeringReply",
   "EvictConfirm",
   "EvictConfirmReply",
   "Leaving",
--- a/src/ShareView.h
+++ b/src/ShareView.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 namespace pollenway {
@@ -15,6 +16,11 @@
   uint64_t mIncarnation = 0;
 
   auto operator<=>(const ShareMember&) const = default;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mName, aSelf.mIncarnation);
+  }
 };
 
 /// The numbered member list of the own zone, as `zoneview/<zone>` holds it.
--- /dev/null
+++ b/src/SteeringService.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "ClientBlockTable.h"
+#include "HeadroomTracker.h"
+#include "LookupPolicy.h"
+#include "MembershipService.h"
+
+#include <memory>
+
+namespace pollenway {
+
+/// Decides look-ups and keeps what that needs up to date: client blocks,
+/// instances, and the headroom that peers lend each other.
+class SteeringService
+{
+public:
+  SteeringService(asio::any_io_executor aExecutor,
+                  FleetState& aFleet,
+                  PeerTransport& aTransport,
+                  MembershipService& aMembership);
+
+  void Start();
+  void Stop();
+  void OnInventory();
+  /// Call when the members of a zone changed.
+  void OnDirectory();
+  /// This process joined its zone as a new run: it owns no headroom yet.
+  void OnRejoin();
+
+  LookupDecision Decide(const LookupRequest& aRequest);
+  /// Counts a request of a caller, for the estimate of its block's rate.
+  void CountRequest(const IpAddress& aClient);
+  /// A peer's summary; the answer lends headroom.
+  peer::SteeringReply HandleSummary(const peer::Steering& aSummary);
+
+private:
+  Awaitable<void> TimerLoop();
+  Awaitable<void> Exchange(InstanceInfo aPeer);
+  std::vector<InstanceInfo> PeersInTurn();
+  void UpdateBlocks();
+  void UpdateView();
+  void UpdateLease();
+
+  asio::any_io_executor mExecutor;
+  FleetState& mFleet;
+  PeerTransport& mTransport;
+  MembershipService& mMembership;
+  ClientBlockTable mBlocks;
+  std::map<IpPrefix, RegionName> mKnownBlocks;
+  std::unique_ptr<HeadroomTracker> mHeadroom;
+  std::unique_ptr<LookupPolicy> mPolicy;
+  asio::steady_timer mTimer;
+  uint64_t mAppliedView = 0;
+  uint64_t mTurn = 0;
+  bool mStopping = false;
+};
+
+} // namespace pollenway
--- a/src/SteeringSummary.h
+++ b/src/SteeringSummary.h
@@ -4,6 +4,7 @@
 #include "ShareView.h"
 
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 namespace pollenway {
@@ -16,6 +17,11 @@
   double mCommitted = 0;
   /// Headroom that the sender asks to borrow; 0 in a zone's summary.
   double mWanted = 0;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mZone, aSelf.mCommitted, aSelf.mWanted);
+  }
 };
 
 /// Demand for one region, in requests/s.
@@ -31,6 +37,16 @@
   /// Admission shares in force at the sender, in [0, 1].
   double mFirstChoiceShare = 1;
   double mSpilledShare = 1;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mRegion,
+                    aSelf.mFirstChoice,
+                    aSelf.mSpilled,
+                    aSelf.mBudget,
+                    aSelf.mFirstChoiceShare,
+                    aSelf.mSpilledShare);
+  }
 };
 
 /// The part of a heartbeat that steering needs. Within a zone it describes the
@@ -46,6 +62,16 @@
   bool mIsReady = false;
   std::vector<ZoneCommitment> mZones; ///< Without entries that are 0.
   std::vector<RegionDemand> mRegions; ///< All regions.
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mSender,
+                    aSelf.mZone,
+                    aSelf.mConfirmedView,
+                    aSelf.mIsReady,
+                    aSelf.mZones,
+                    aSelf.mRegions);
+  }
 };
 
 /// Headroom of a zone that the receiver may use for the loan lifetime.
@@ -54,6 +80,8 @@
   ZoneName mZone;
   /// Requests/s.
   double mRate = 0;
+
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mZone, aSelf.mRate); }
 };
 
 } // namespace pollenway
