Quarantine requests that crash backend servers

Cause: the quarantine existed in the core only; nothing reported crashes. Change: the slot owner takes a lost connection to a target that then refuses connections for a crash, tells all instances the requests in flight, and holds the answer for 150 ms; a suspect runs through one slot owner, once at a time.

--- a/src/BackendDispatcher.cpp
+++ b/src/BackendDispatcher.cpp
@@ -2,12 +2,25 @@
 
 #include "HeaderNames.h"
 #include "HttpHeaders.h"
+#include "Logger.h"
 #include "SteadyTime.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 namespace pollenway {
 
+namespace {
+
+constexpr auto kCrashProbeTimeout = std::chrono::milliseconds(200);
+/// Lost connections within this time belong to the same crash.
+constexpr auto kCrashGap = std::chrono::seconds(1);
+/// How long the answer to a request is held after a crash, so that all
+/// instances of other regions (55 ms away) know the suspects before it is sent
+/// again.
+constexpr auto kCrashHold = std::chrono::milliseconds(150);
+
+} // namespace
+
 struct BackendDispatcher::Waiter
 {
   explicit Waiter(asio::any_io_executor aExecutor)
@@ -30,9 +43,11 @@
 
 BackendDispatcher::BackendDispatcher(asio::any_io_executor aExecutor,
                                      FleetState& aFleet,
+                                     PeerTransport& aTransport,
                                      ForwarderOptions aOptions)
   : mExecutor(aExecutor)
   , mFleet(aFleet)
+  , mTransport(aTransport)
   , mPool(aExecutor, {})
   , mForwarder(mPool, aOptions)
 {
@@ -55,6 +70,13 @@
     result.mRefusal = ResultCode::DeadlineBeforeStart;
     co_return result;
   }
+  bool isSuspect = false;
+  result.mRefusal = CheckQuarantine(aRequest, aTarget.mName, isSuspect);
+  if (result.mRefusal != ResultCode::Ok) {
+    mSlots.Release(ticket);
+    ServeQueue(aTarget.mName);
+    co_return result;
+  }
   const Duration left = aRequest.mDeadline - now;
   RequestHeader head = aRequest.mHeader;
   head.set(header::kRequestId, aRequest.mId);
@@ -67,13 +89,104 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
   const tcp::endpoint endpoint(asio::ip::make_address(aTarget.mAddress),
                                aTarget.mPort);
+  const TargetName name = aTarget.mName;
+  mInFlight[name].push_back(aRequest.mFingerprint);
   result =
     co_await mForwarder.Forward(aRequest, endpoint, std::move(head), left);
   mSlots.Release(ticket);
-  ServeQueue(aTarget.mName);
+  ServeQueue(name);
+  co_await ObserveEnd(
+    aRequest.mFingerprint, name, endpoint, result.mFailure, isSuspect);
   co_return result;
 }
 
+ResultCode BackendDispatcher::CheckQuarantine(const RequestContext& aRequest,
+                                              const TargetName& aTarget,
+                                              bool& aIsSuspect)
+{
+  const TimePoint now = SteadyNow();
+  const auto verdict = mQuarantine.Check(aRequest.mFingerprint, now);
+  if (verdict == CrashQuarantine::Verdict::Quarantined) {
+    return ResultCode::Quarantined;
+  }
+  if (verdict == CrashQuarantine::Verdict::Free) {
+    return ResultCode::Ok;
+  }
+  // Two suspects at one target would leave open which of them crashed it.
+  const auto inFlight = mInFlight.find(aTarget);
+  const bool othersSuspect =
+    inFlight != mInFlight.end() && mQuarantine.HasSuspect(inFlight->second);
+  aIsSuspect = !othersSuspect &&
+               mQuarantine.TryStartSuspect(aRequest.mFingerprint, aTarget, now);
+  return aIsSuspect ? ResultCode::Ok : ResultCode::Quarantined;
+}
+
+Awaitable<bool> BackendDispatcher::IsRefusing(tcp::endpoint aEndpoint)
+{
+  HttpClientConnection connection(mExecutor);
+  auto connected = co_await connection.Connect(aEndpoint, kCrashProbeTimeout);
+  const bool refused = !connected;
+  co_return refused;
+}
+
+void BackendDispatcher::Announce(const PeerBody& aBody)
+{
+  for (const auto& it : mFleet.mDirectory.All()) {
+    if (it.mName != mFleet.mSelf.mName) {
+      mTransport.Notify({ it.mAddress, it.mPeerPort }, aBody);
+    }
+  }
+}
+
+Awaitable<void> BackendDispatcher::ObserveEnd(
+  RequestFingerprint aRequest,
+  TargetName aTarget,
+  tcp::endpoint aEndpoint,
+  std::optional<AttemptFailure> aFailure,
+  bool aIsSuspect)
+{
+  const bool lost = aFailure == AttemptFailure::ConnectionLost ||
+                    aFailure == AttemptFailure::AnswerCut;
+  if (lost) {
+    const bool crashed = co_await IsRefusing(aEndpoint);
+    const TimePoint now = SteadyNow();
+    if (crashed && now - mLastCrash[aTarget] > kCrashGap) {
+      mLastCrash[aTarget] = now;
+      peer::CrashSuspect notice;
+      notice.mReport.mId = { mFleet.mSelf.mName,
+                             mFleet.mSelf.mIncarnation,
+                             ++mCrashes };
+      notice.mReport.mInFlight = mInFlight[aTarget];
+      mQuarantine.OnCrash(notice.mReport, now);
+      Log(LogLevel::Warn,
+          "target_crashed",
+          { { "target", aTarget.Text() },
+            { "in_flight", notice.mReport.mInFlight.size() } });
+      Announce(notice);
+    }
+    if (crashed) {
+      // The caller may send the request again at once: peers must know first.
+      asio::steady_timer timer(mExecutor, kCrashHold);
+      ErrorCode ec;
+      co_await timer.async_wait(Into(ec));
+    }
+  }
+  auto& inFlight = mInFlight[aTarget];
+  const auto it = std::find(inFlight.begin(), inFlight.end(), aRequest);
+  if (it != inFlight.end()) {
+    inFlight.erase(it);
+  }
+  if (!aFailure) {
+    if (mQuarantine.OnCompleted(aRequest)) {
+      peer::CrashCleared notice;
+      notice.mRequest = aRequest;
+      Announce(notice);
+    }
+  } else if (aIsSuspect) {
+    mQuarantine.OnSuspectRunEnded(aRequest);
+  }
+}
+
 Awaitable<ResultCode> BackendDispatcher::WaitForSlot(RequestContext& aRequest,
                                                      const Target& aTarget,
                                                      SlotTicket& aTicket)
--- a/src/BackendDispatcher.h
+++ b/src/BackendDispatcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "CrashQuarantine.h"
 #include "ExchangeForwarder.h"
 #include "FairQueue.h"
 #include "FleetState.h"
+#include "PeerTransport.h"
 #include "SlotTable.h"
 
 #include <map>
@@ -17,6 +19,7 @@
 public:
   BackendDispatcher(asio::any_io_executor aExecutor,
                     FleetState& aFleet,
+                    PeerTransport& aTransport,
                     ForwarderOptions aOptions);
 
   /// One attempt at a target. Refused as not run if this instance is not the
@@ -32,6 +35,8 @@
   void ClearQueue(const TargetName& aTarget, ResultCode aCode);
   size_t Queued(const TargetName& aTarget) const;
   const ExchangeForwarder& Forwarder() const { return mForwarder; }
+  /// Requests that crash the backend servers that run them.
+  CrashQuarantine& Quarantine() { return mQuarantine; }
 
 private:
   struct Waiter;
@@ -41,12 +46,32 @@
                                     const Target& aTarget,
                                     SlotTicket& aTicket);
 
+  /// Ok, or why the request may not start at the target now.
+  ResultCode CheckQuarantine(const RequestContext& aRequest,
+                             const TargetName& aTarget,
+                             bool& aIsSuspect);
+  /// Learns from the end of a run; a lost connection may be a crash.
+  Awaitable<void> ObserveEnd(RequestFingerprint aRequest,
+                             TargetName aTarget,
+                             tcp::endpoint aEndpoint,
+                             std::optional<AttemptFailure> aFailure,
+                             bool aIsSuspect);
+  Awaitable<bool> IsRefusing(tcp::endpoint aEndpoint);
+  void Announce(const PeerBody& aBody);
+
   asio::any_io_executor mExecutor;
   FleetState& mFleet;
+  PeerTransport& mTransport;
   HttpClientPool mPool;
   ExchangeForwarder mForwarder;
   SlotTable mSlots;
   std::map<TargetName, Queue> mQueues;
+  CrashQuarantine mQuarantine;
+  /// Requests in flight at each target, with those that ended by a lost
+  /// connection and are not yet explained.
+  std::map<TargetName, std::vector<RequestFingerprint>> mInFlight;
+  std::map<TargetName, TimePoint> mLastCrash;
+  uint64_t mCrashes = 0;
 };
 
 } // namespace pollenway
--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -5,6 +5,7 @@
 #include "HttpHeaders.h"
 #include "Logger.h"
 #include "NetworkPrefix.h"
+#include "RendezvousHash.h"
 #include "SteadyTime.h"
 #include "StoredAnswer.h"
 
@@ -413,6 +414,31 @@
   }
 }
 
+std::vector<TargetName> CallerFrontend::TargetsOfOtherOwners(
+  const RequestContext& aRequest) const
+{
+  // One slot owner runs a suspect, so that it runs once at a time.
+  std::map<TargetName, InstanceName> owners;
+  std::vector<InstanceName> names;
+  for (const auto& it : mFleet.mInventory->mTargets) {
+    const Place* place = mFleet.mInventory->FindPlace(it.mPlace);
+    const auto* owner =
+      mFleet.mDirectory.OwnerOf(place->mZone, it.mName.Text());
+    if (it.mService == aRequest.mService && owner) {
+      owners[it.mName] = owner->mName;
+      names.push_back(owner->mName);
+    }
+  }
+  const auto* selected = FirstByRendezvous(aRequest.mFingerprint.Text(), names);
+  std::vector<TargetName> out;
+  for (const auto& [target, owner] : owners) {
+    if (selected && owner != *selected) {
+      out.push_back(target);
+    }
+  }
+  return out;
+}
+
 Awaitable<CallerFrontend::RunResult> CallerFrontend::Run(
   RequestContext& aRequest,
   HomeService::Protected* aProtected)
@@ -423,6 +449,15 @@
   RunResult out;
   out.mCode = ResultCode::NoTarget;
   std::vector<TargetName> excluded;
+  const auto verdict =
+    mDispatcher.Quarantine().Check(aRequest.mFingerprint, SteadyNow());
+  if (verdict == CrashQuarantine::Verdict::Quarantined) {
+    out.mCode = ResultCode::Quarantined;
+    co_return out;
+  }
+  if (verdict == CrashQuarantine::Verdict::Suspect) {
+    excluded = TargetsOfOtherOwners(aRequest);
+  }
   AttemptReport report{ .mExecution = aRequest.mExecution,
                         .mDeadline = aRequest.mDeadline };
   for (report.mAttempts = 1;; ++report.mAttempts) {
--- a/src/CallerFrontend.h
+++ b/src/CallerFrontend.h
@@ -68,6 +68,9 @@
   /// The caller's address; `aClaimed` is honoured from trusted resolvers.
   IpAddress ClientOf(const HttpConnection& aConnection,
                      const std::string& aClaimed) const;
+  /// Targets at which a suspect must not run.
+  std::vector<TargetName> TargetsOfOtherOwners(
+    const RequestContext& aRequest) const;
   std::string NextRequestId();
 
   FleetState& mFleet;
--- a/src/CrashReport.h
+++ b/src/CrashReport.h
@@ -4,6 +4,7 @@
 #include "RequestFingerprint.h"
 
 #include <cstdint>
+#include <tuple>
 #include <vector>
 
 namespace pollenway {
@@ -16,6 +17,11 @@
   uint64_t mNumber = 0;
 
   auto operator<=>(const CrashId&) const = default;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mObserver, aSelf.mIncarnation, aSelf.mNumber);
+  }
 };
 
 /// A crash and the requests that were in flight at the target, to announce to
@@ -24,6 +30,11 @@
 {
   CrashId mId;
   std::vector<RequestFingerprint> mInFlight;
+
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mId, aSelf.mInFlight);
+  }
 };
 
 } // namespace pollenway
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -68,6 +68,7 @@
   , mSteering(aIo.get_executor(), mFleet, mTransport, mMembership)
   , mDispatcher(aIo.get_executor(),
                 mFleet,
+                mTransport,
                 MakeForwarderOptions(mFleet.mSettings))
   , mTargets(aIo.get_executor(), mFleet, mTransport, mMembership, mDispatcher)
   , mFrontend(aIo.get_executor(),
@@ -157,6 +158,12 @@
   } else if (const auto* steering =
                std::get_if<peer::Steering>(&aMessage.mBody)) {
     out = mSteering.HandleSummary(*steering);
+  } else if (const auto* crash =
+               std::get_if<peer::CrashSuspect>(&aMessage.mBody)) {
+    mDispatcher.Quarantine().OnCrash(crash->mReport, SteadyNow());
+  } else if (const auto* cleared =
+               std::get_if<peer::CrashCleared>(&aMessage.mBody)) {
+    mDispatcher.Quarantine().OnCleared(cleared->mRequest);
   } else if (std::holds_alternative<peer::Home>(aMessage.mBody)) {
     mHomes.HandleMessage(aMessage);
   } else if (auto* changed =
--- a/src/PeerBodies.h
+++ b/src/PeerBodies.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AdmitMessage.h"
+#include "CrashReport.h"
 #include "HandoverAnswer.h"
 #include "HomeMessage.h"
 #include "Ids.h"
@@ -339,20 +340,18 @@
   }
 };
 
-/// A request during which a backend server crashed.
+/// A backend server crashed: the requests in flight are suspects.
 struct CrashSuspect
 {
-  /// Hash of workspace, method, path and body digest.
-  uint64_t mFingerprint = 0;
-  uint32_t mCrashes = 0;
-  TargetName mTarget;
-  /// Age of the last crash when the message was sent.
-  uint32_t mAgeMs = 0;
-  static auto Fields(auto& aSelf)
-  {
-    return std::tie(
-      aSelf.mFingerprint, aSelf.mCrashes, aSelf.mTarget, aSelf.mAgeMs);
-  }
+  CrashReport mReport;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mReport); }
+};
+
+/// A suspect ran without a crash and is none any more.
+struct CrashCleared
+{
+  RequestFingerprint mRequest;
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mRequest); }
 };
 
 } // namespace pollenway::peer
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -37,6 +37,7 @@
   "EvictConfirmReply",
   "Leaving",
   "CrashSuspect",
+  "CrashCleared",
   "FetchView",
   "View",
 };
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -38,6 +38,7 @@
   EvictConfirmReply,
   Leaving,
   CrashSuspect,
+  CrashCleared,
   FetchView,
   View,
 };
@@ -62,6 +63,7 @@
                               peer::EvictConfirmReply,
                               peer::Leaving,
                               peer::CrashSuspect,
+                              peer::CrashCleared,
                               peer::FetchView,
                               peer::View>;
 
--- a/src/RequestFingerprint.h
+++ b/src/RequestFingerprint.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace pollenway {
 
@@ -29,6 +30,8 @@
   /// 16 hexadecimal digits; the key with which rendezvous hashing selects the
   /// instance that runs a suspect.
   std::string Text() const;
+
+  static auto Fields(auto& aSelf) { return std::tie(aSelf.mValue); }
 };
 
 } // namespace pollenway
