Add the admin server with state, metrics, explain, withdrawals and drain

Cause: pollenwayctl dump, explain and key withdraw had no server to ask, and an instance's state could only be read from its log. Change: AdminServer listens on the admin address and port of the settings; StateDump collects state and metrics from the services. CallerFrontend records each request with a DecisionRecord: start and end in Handle, the steps in between with one line each. Requests refused before routing now get a request id in the answer too, so that explain finds them.

--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -133,7 +133,9 @@
   if (isLookup) {
     co_await HandleLookup(aConnection);
   } else {
-    co_await HandleRequest(aConnection);
+    DecisionRecord record = RequestObserver::Start(SteadyNow());
+    co_await HandleRequest(aConnection, record);
+    mObserver.End(std::move(record), SteadyNow());
   }
 }
 
@@ -203,8 +205,10 @@
          std::to_string(++mRequests);
 }
 
-Awaitable<void> CallerFrontend::HandleRequest(HttpConnection& aConnection)
+Awaitable<void> CallerFrontend::HandleRequest(HttpConnection& aConnection,
+                                              DecisionRecord& aRecord)
 {
+  aRecord.mId = NextRequestId();
   const auto inventory = mFleet.mInventory;
   RequestHeader head = aConnection.Header();
   const std::string method(head.method_string());
@@ -226,7 +230,9 @@
     }
   }
   if (!match.mRoute) {
+    aRecord.mCode = error.mCode;
     TextResponse refusal = MakeRefusal(error.mCode, error.mDetail);
+    refusal.set(header::kRequestId, aRecord.mId);
     co_await aConnection.Write(std::move(refusal));
     co_return;
   }
@@ -237,10 +243,13 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(service.mTimeout)
       .count());
   RequestContext request{ .mSource = aConnection };
-  request.mId = NextRequestId();
-  request.mService = service.mName;
+  request.mId = aRecord.mId;
+  request.mRecord = &aRecord;
+  request.mService = aRecord.mService = service.mName;
+  aRecord.mRoute = match.mRoute->mPathPrefix;
   request.mExecution = match.mRoute->mExecution;
   request.mWorkspace = workspace ? workspace->mName : WorkspaceName();
+  aRecord.mWorkspace = request.mWorkspace;
   request.mWeight = workspace ? workspace->mWeight : 1;
   request.mDeadline =
     SteadyNow() +
@@ -251,6 +260,7 @@
   if (length && *length <= kKeptBodyBytes) {
     auto body = co_await aConnection.ReadBody(kKeptBodyBytes);
     if (!body) {
+      aRecord.mCode = body.error().mCode;
       co_return;
     }
     request.mBody = std::move(body.value());
@@ -320,7 +330,7 @@
                                        ResultCode aCode,
                                        Duration aRetryAfter)
 {
-  ++mRefusals[aCode];
+  aRequest.mRecord->mCode = aCode;
   TextResponse refusal =
     MakeRefusal(aCode, std::string(Name(aCode)), aRetryAfter);
   refusal.set(header::kRequestId, aRequest.mId);
@@ -330,6 +340,7 @@
 Awaitable<bool> CallerFrontend::AdmitByRate(RequestContext& aRequest)
 {
   const auto decision = co_await mLimits.Admit(aRequest.mWorkspace);
+  aRequest.mRecord->mAdmission = decision.mCode;
   if (decision.mCode == ResultCode::Ok) {
     co_return true;
   }
@@ -353,6 +364,7 @@
   const RecordKey key{ aRequest.mWorkspace, std::move(aKey) };
   auto record = mHomes.Make(key, fingerprint);
   const auto step = co_await mHomes.Begin(record, aRequest.mDeadline);
+  aRequest.mRecord->mHomeStep = Name(step);
   if (step == ProtectedRequest::Step::Answer) {
     TextResponse stored = DecodeStoredAnswer(mHomes.AnswerOf(*record));
     stored.set(header::kRequestId, aRequest.mId);
@@ -420,6 +432,8 @@
     const TimePoint start = SteadyNow();
     const auto target = selector.Select(excluded, mFleet.mRandom, start);
     if (!target) {
+      RequestObserver::NoteUnusable(*aRequest.mRecord,
+                                    selector.Assess(excluded, start));
       break;
     }
     // The home's permission lapses; after that the request may not start.
@@ -437,6 +451,11 @@
     const TimePoint end = SteadyNow();
     selector.OnEnd(
       *target, EndOf(result, aRequest.mCallerGone), end - start, end);
+    RequestObserver::NoteAttempt(*aRequest.mRecord,
+                                 *target,
+                                 result.mRefusal,
+                                 result.mFailure,
+                                 end - start);
     const bool refused = result.mRefusal != ResultCode::Ok;
     if (result.mStreamed || aRequest.mCallerGone) {
       out.mFinished = true;
@@ -444,6 +463,7 @@
         report.mEarlierMayHaveRun || (!refused && result.mBytesSent);
       out.mCode = result.IsAnswered() ? ResultCode::Ok
                                       : ResultCode::BackendConnectionLost;
+      aRequest.mRecord->mCode = out.mCode;
       co_return out;
     }
     if (result.IsAnswered()) {
--- a/src/CallerFrontend.h
+++ b/src/CallerFrontend.h
@@ -6,6 +6,7 @@
 #include "LimitService.h"
 #include "MembershipService.h"
 #include "RelayClient.h"
+#include "RequestObserver.h"
 #include "RetryPolicy.h"
 #include "TargetSelector.h"
 
@@ -34,6 +35,13 @@
   /// When the last look-up was answered.
   TimePoint LastLookup() const { return mLastLookup; }
 
+  const RequestObserver& Observer() const { return mObserver; }
+  const std::map<ServiceName, RetryBudget>& Budgets() const { return mBudgets; }
+  const std::map<ServiceName, TargetSelector>& Selectors() const
+  {
+    return mSelectors;
+  }
+
 private:
   struct RunResult
   {
@@ -47,7 +55,8 @@
 
   Awaitable<void> Handle(HttpConnection& aConnection);
   Awaitable<void> HandleLookup(HttpConnection& aConnection);
-  Awaitable<void> HandleRequest(HttpConnection& aConnection);
+  Awaitable<void> HandleRequest(HttpConnection& aConnection,
+                                DecisionRecord& aRecord);
   /// Refuses the request if its workspace has no token left.
   Awaitable<bool> AdmitByRate(RequestContext& aRequest);
   /// Runs a request at most once under its idempotency key.
@@ -73,9 +82,9 @@
   RelayClient mRelay;
   HttpServer mServer;
   RetryPolicy mRetryPolicy;
+  RequestObserver mObserver;
   std::map<ServiceName, RetryBudget> mBudgets;
   std::map<ServiceName, TargetSelector> mSelectors;
-  std::map<ResultCode, uint64_t> mRefusals;
   uint64_t mRequests = 0;
   TimePoint mLastLookup{};
 };
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -4,6 +4,8 @@
 #include "Spawn.h"
 #include "SteadyTime.h"
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 namespace pollenway {
@@ -77,9 +79,35 @@
               mDispatcher,
               MakeForwarderOptions(mFleet.mSettings))
   , mRelayServer(aIo.get_executor(), mFleet, mDispatcher)
+  , mStateDump({ mFleet,
+                 mMembership,
+                 mLimits,
+                 mHomes,
+                 mDispatcher,
+                 mTargets,
+                 mFrontend,
+                 mStore,
+                 mTransport })
+  , mAdmin(aIo.get_executor(),
+           { mFleet.mSelf.mName, mFleet.mSelf.mZone },
+           mFrontend.Observer().Decisions(),
+           AdminCallbacks())
 {
 }
 
+AdminServer::Callbacks EntryServer::AdminCallbacks()
+{
+  AdminServer::Callbacks out;
+  out.mState = [this] { return mStateDump.State(SteadyNow()); };
+  out.mMetrics = [this] { return mStateDump.Metrics(); };
+  out.mWithdraw = [this](const KeyId& aKey) { mMembership.Withdraw(aKey); };
+  out.mWithdrawalReport = [this] {
+    return WithdrawalReportJson(mMembership.Table());
+  };
+  out.mDrain = [this] { Stop(); };
+  return out;
+}
+
 MembershipService::Callbacks EntryServer::MembershipCallbacks()
 {
   MembershipService::Callbacks out;
@@ -102,6 +130,8 @@
 {
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mRelayServer.Listen());
+  BOOST_OUTCOME_TRYV(
+    mAdmin.Listen(mFleet.mSettings.mAdminAddress, mFleet.mSettings.mAdminPort));
   BOOST_OUTCOME_TRYV(
     mTransport.Listen(mFleet.mSettings.mAddress, mFleet.mSettings.mPeerPort));
   mMembership.Start();
@@ -237,6 +267,7 @@
   }
   mFrontend.Server().Abort();
   mRelayServer.Server().Abort();
+  mAdmin.Server().Abort();
   Log(LogLevel::Info, "stopped", {});
   mIo.stop();
 }
--- a/src/EntryServer.h
+++ b/src/EntryServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdminServer.h"
 #include "BackendDispatcher.h"
 #include "CallerFrontend.h"
 #include "FleetState.h"
@@ -8,6 +9,7 @@
 #include "MembershipService.h"
 #include "PeerTransport.h"
 #include "RelayServer.h"
+#include "StateDump.h"
 #include "StoreClient.h"
 #include "TargetMonitor.h"
 
@@ -33,6 +35,7 @@
   void OnDirectory();
   void OnObject(const StoreChange& aChange);
   MembershipService::Callbacks MembershipCallbacks();
+  AdminServer::Callbacks AdminCallbacks();
 
   asio::io_context& mIo;
   FleetState mFleet;
@@ -45,6 +48,8 @@
   TargetMonitor mTargets;
   CallerFrontend mFrontend;
   RelayServer mRelayServer;
+  StateDump mStateDump;
+  AdminServer mAdmin;
   bool mStopping = false;
 };
 
--- a/src/ProtectedRequest.cpp
+++ b/src/ProtectedRequest.cpp
@@ -4,6 +4,23 @@
 
 namespace pollenway {
 
+std::string_view Name(ProtectedRequest::Step aStep)
+{
+  switch (aStep) {
+    case ProtectedRequest::Step::Wait:
+      return "wait";
+    case ProtectedRequest::Step::Run:
+      return "run";
+    case ProtectedRequest::Step::Answer:
+      return "answer";
+    case ProtectedRequest::Step::Refuse:
+      return "refuse";
+    case ProtectedRequest::Step::Done:
+      return "done";
+  }
+  return "unknown";
+}
+
 ProtectedRequest::ProtectedRequest(RecordKey aKey,
                                    uint64_t aFingerprint,
                                    AttemptId aAttempt,
--- a/src/ProtectedRequest.h
+++ b/src/ProtectedRequest.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pollenway {
 
@@ -90,4 +91,7 @@
   bool mReported = false;
 };
 
+/// "wait", "run", "answer", "refuse" or "done", for `explain`.
+std::string_view Name(ProtectedRequest::Step aStep);
+
 } // namespace pollenway
--- a/src/RequestContext.h
+++ b/src/RequestContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "DecisionRecord.h"
 #include "HttpConnection.h"
 #include "Ids.h"
 #include "RequestFingerprint.h"
@@ -37,6 +38,8 @@
   bool mCallerGone = false;
   /// Stops the current stage; set while one is running.
   std::function<void()> mCancel{};
+  /// What `explain` tells about the request; null for a relayed one.
+  DecisionRecord* mRecord = nullptr;
 };
 
 } // namespace pollenway
--- a/src/TargetMonitor.h
+++ b/src/TargetMonitor.h
@@ -28,6 +28,8 @@
   peer::SlotHandoverReply HandleHandover(const peer::SlotHandover& aRequest);
   /// Stops owning all targets; requests in flight go on.
   void GiveUpAll();
+  /// Targets owned or being taken over.
+  const std::set<TargetName>& Owned() const { return mOwned; }
 
 private:
   struct Probe
