--- a/src/AdminServer.cpp
+++ b/src/AdminServer.cpp
@@ -15,6 +15,7 @@
 
 constexpr size_t kMaxBodyBytes = 4096;
 constexpr size_t kMaxKeyIdBytes = 128;
+constexpr uint64_t kMaxWaitMs = 3000;
 constexpr auto kConfirmationPoll = std::chrono::milliseconds(20);
 
 TextResponse JsonAnswer(http::status aStatus, const json& aBody)
@@ -65,6 +66,34 @@
   return out;
 }
 
+/// The body of a withdrawal.
+struct WithdrawalRequest
+{
+  KeyId mKey;
+  std::optional<Duration> mWait{};
+};
+
+std::optional<WithdrawalRequest> ParseWithdrawal(const std::string& aBody)
+{
+  const auto document = json::parse(aBody, nullptr, false);
+  if (!document.is_object() || !document.contains("key") ||
+      !document["key"].is_string()) {
+    return std::nullopt;
+  }
+  const auto key = document["key"].get<std::string>();
+  if (key.empty() || key.size() > kMaxKeyIdBytes) {
+    return std::nullopt;
+  }
+  WithdrawalRequest out{ .mKey = KeyId(key) };
+  if (const auto it = document.find("wait_ms"); it != document.end()) {
+    if (!it->is_number_unsigned() || it->get<uint64_t>() > kMaxWaitMs) {
+      return std::nullopt;
+    }
+    out.mWait = std::chrono::milliseconds(it->get<uint64_t>());
+  }
+  return out;
+}
+
 bool IsComplete(const json& aReport)
 {
   for (const auto& it : aReport) {
@@ -167,19 +196,16 @@
 
 Awaitable<TextResponse> AdminServer::Withdraw(std::string aBody)
 {
-  const auto document = json::parse(aBody, nullptr, false);
-  std::string key;
-  if (document.is_object() && document.contains("key") &&
-      document["key"].is_string()) {
-    key = document["key"].get<std::string>();
-  }
-  if (key.empty() || key.size() > kMaxKeyIdBytes) {
+  const auto request = ParseWithdrawal(aBody);
+  if (!request) {
     co_return MakeRefusal(ResultCode::BadRequest,
-                          "the body must be {\"key\": ID}, with an ID of at "
-                          "most 128 bytes");
+                          "the body must be {\"key\": ID} with an ID of at "
+                          "most 128 bytes, and optionally \"wait_ms\" of at "
+                          "most 3000");
   }
-  mCallbacks.mWithdraw(KeyId(key));
-  const TimePoint limit = SteadyNow() + mOptions.mConfirmationWait;
+  mCallbacks.mWithdraw(request->mKey);
+  const TimePoint limit =
+    SteadyNow() + request->mWait.value_or(mOptions.mConfirmationWait);
   asio::steady_timer timer(mExecutor);
   json zones = mCallbacks.mWithdrawalReport();
   while (!IsComplete(zones) && SteadyNow() < limit) {
@@ -189,7 +215,7 @@
     zones = mCallbacks.mWithdrawalReport();
   }
   const bool isComplete = IsComplete(zones);
-  json answer = { { "key", key },
+  json answer = { { "key", request->mKey.Text() },
                   { "name", mOptions.mName.Text() },
                   { "zone", mOptions.mZone.Text() },
                   { "complete", isComplete },
--- a/src/AdminServer.h
+++ b/src/AdminServer.h
@@ -33,8 +33,11 @@
   {
     InstanceName mName;
     ZoneName mZone;
-    /// How long an answer to a withdrawal waits until all zones have confirmed.
-    Duration mConfirmationWait = std::chrono::seconds(3);
+    /// How long an answer to a withdrawal waits until all zones have confirmed,
+    /// unless the request has "wait_ms". Below pollenwayctl's default timeout
+    /// of 2 s: one crashed instance delays the confirmation by 6 s, and with a
+    /// longer wait no instance's answer would reach the command.
+    Duration mConfirmationWait = std::chrono::milliseconds(1500);
   };
 
   AdminServer(asio::any_io_executor aExecutor,
--- a/src/StateDump.cpp
+++ b/src/StateDump.cpp
@@ -1,5 +1,6 @@
 #include "StateDump.h"
 
+#include "Allotment.h"
 #include "InventoryTexts.h"
 #include "MetricsWriter.h"
 
@@ -118,7 +119,7 @@
                     { "is_owner", it.mIsOwner },
                     { "tokens", it.mTokens },
                     { "demand", it.mDemand },
-                    { "fraction", it.mFraction } });
+                    { "fraction", double(it.mFraction) / Allotment::kWhole } });
   }
   return out;
 }
--- a/test/correctness/AdminServer.cpp
+++ b/test/correctness/AdminServer.cpp
@@ -89,6 +89,24 @@
   CHECK(fixture.mWithdrawn.size() == 1);
 }
 
+// Guards against an answer that claims a confirmation that has not come, and
+// against a wait that outlasts the client's timeout.
+TEST_CASE("a withdrawal tells if the wait ended without confirmation")
+{
+  Fixture fixture;
+  const auto [status, body] = fixture.Ask(
+    http::verb::post, "/withdrawals", R"({"key": "till-9", "wait_ms": 0})");
+  CHECK(status == 200);
+  CHECK(nlohmann::json::parse(body)["complete"] == false);
+  CHECK(fixture.mWithdrawn == std::vector{ KeyId("till-9") });
+  for (const char* it : { R"({"key": "k", "wait_ms": 3001})",
+                          R"({"key": "k", "wait_ms": -1})",
+                          R"({"key": "k", "wait_ms": "1"})" }) {
+    CAPTURE(it);
+    CHECK(fixture.Ask(http::verb::post, "/withdrawals", it).first == 400);
+  }
+}
+
 // Guards against a drain that a GET starts, for instance a monitoring probe.
 TEST_CASE("only a POST starts a drain")
 {
