State only known reasons in the comments of the metrics

Cause: a comment named the decision log's size in memory, which was never measured, and two others gave unclear reasons for their bounds. Change: the comments are corrected; no code changes. Conclusion: comments match what is known.

--- a/src/DecisionLog.h
+++ b/src/DecisionLog.h
@@ -12,7 +12,7 @@
 class DecisionLog
 {
 public:
-  /// At 2,000 requests/s these are the last two seconds, at about 2 MB.
+  /// At the goal of 2,000 requests/s these are the last two seconds.
   static constexpr size_t kDefaultCapacity = 4096;
 
   explicit DecisionLog(size_t aCapacity = kDefaultCapacity);
--- a/src/MetricsRegistry.cpp
+++ b/src/MetricsRegistry.cpp
@@ -14,7 +14,7 @@
 
 namespace bh = boost::histogram;
 
-/// Upper bounds in seconds: 0.1 ms, finer than which no goal asks, to the
+/// Upper bounds in seconds, from below the latency goal of 0.3 ms to the
 /// longest timeouts of services.
 constexpr double kBounds[] = {
   0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
--- a/src/RequestObserver.cpp
+++ b/src/RequestObserver.cpp
@@ -6,8 +6,7 @@
 
 namespace {
 
-/// Bounds the size of a record; the nearest targets are not told apart because
-/// all of them are unusable.
+/// Bounds the size of a record for services with many targets.
 constexpr size_t kMostUnusable = 16;
 
 } // namespace
