--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -4,6 +4,8 @@
 #include "Spawn.h"
 #include "SteadyTime.h"
 
+#include <nlohmann/json.hpp>
+
 #include <random>
 
 namespace pollenway {
@@ -80,9 +82,35 @@
               mDispatcher,
               MakeForwarderOptions(mFleet.mSettings))
   , mRelayServer(aIo.get_executor(), mFleet, mDispatcher)
+  , mStateDump({ mFleet,
+                 mMembership,
+                 mLimits,
+                 mHomes,
+                 mDispatcher,
+                 mTargets,
+                 mFrontend,
+                 mStore,
+                 mTransport })
+  , mAdmin(aIo.get_executor(),
+           { mFleet.mSelf.mName, mFleet.mSelf.mZone },
+           mFrontend.Observer().Decisions(),
+           AdminCallbacks())
 {
 }
 
+AdminServer::Callbacks EntryServer::AdminCallbacks()
+{
+  AdminServer::Callbacks out;
+  out.mState = [this] { return mStateDump.State(SteadyNow()); };
+  out.mMetrics = [this] { return mStateDump.Metrics(); };
+  out.mWithdraw = [this](const KeyId& aKey) { mMembership.Withdraw(aKey); };
+  out.mWithdrawalReport = [this] {
+    return WithdrawalReportJson(mMembership.Table());
+  };
+  out.mDrain = [this] { Stop(); };
+  return out;
+}
+
 MembershipService::Callbacks EntryServer::MembershipCallbacks()
 {
   MembershipService::Callbacks out;
@@ -107,6 +135,8 @@
 {
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mRelayServer.Listen());
+  BOOST_OUTCOME_TRYV(
+    mAdmin.Listen(mFleet.mSettings.mAdminAddress, mFleet.mSettings.mAdminPort));
   BOOST_OUTCOME_TRYV(
     mTransport.Listen(mFleet.mSettings.mAddress, mFleet.mSettings.mPeerPort));
   mMembership.Start();
@@ -253,6 +283,7 @@
   }
   mFrontend.Server().Abort();
   mRelayServer.Server().Abort();
+  mAdmin.Server().Abort();
   Log(LogLevel::Info, "stopped", {});
   mIo.stop();
 }
