--- /dev/null
+++ b/test/correctness/ResultCodePage.cpp
@@ -0,0 +1,76 @@
+#include "ResultCode.h"
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+#include <map>
+#include <regex>
+#include <string>
+
+using namespace pollenway;
+
+namespace {
+
+struct PageRow
+{
+  std::string mName;
+  std::string mOutcome;
+  unsigned mStatus = 0;
+};
+
+std::map<unsigned, PageRow> ReadPage()
+{
+  const std::regex row(
+    R"(\| (\d+) \| (\w+) \| ([a-z-]+) \| (\d+) \| .+ \| .+ \| .+ \|)");
+  std::map<unsigned, PageRow> out;
+  std::ifstream page("docs/result-codes.md");
+  std::smatch it;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("| ") && std::isdigit(line[2])) {
+      CAPTURE(line);
+      REQUIRE(std::regex_match(line, it, row));
+      const PageRow read{ it[2], it[3], unsigned(std::stoul(it[4])) };
+      REQUIRE(out.emplace(unsigned(std::stoul(it[1])), read).second);
+    }
+  }
+  return out;
+}
+
+/// The enumerators of ResultCode.h, which C++ can't list.
+std::map<unsigned, std::string> ReadEnumeration()
+{
+  const std::regex enumerator(R"(  (\w+) = (\d+),)");
+  std::map<unsigned, std::string> out;
+  std::ifstream header("src/ResultCode.h");
+  std::smatch it;
+  for (std::string line; std::getline(header, line);) {
+    if (std::regex_match(line, it, enumerator)) {
+      out.emplace(unsigned(std::stoul(it[2])), it[1]);
+    }
+  }
+  return out;
+}
+
+} // namespace
+
+// Guards against a code that the page leaves out, names twice or describes with
+// another number, outcome or status than the programs send, and against a code
+// that is in the enumeration but not in the table of ResultCode.cpp.
+TEST_CASE("the page of result codes agrees with the code")
+{
+  const auto page = ReadPage();
+  const auto codes = ReadEnumeration();
+  REQUIRE(codes.size() > 40);
+  CHECK(page.size() == codes.size());
+  for (const auto& [number, name] : codes) {
+    CAPTURE(number);
+    CAPTURE(name);
+    const auto code = ResultCode(number);
+    CHECK(Name(code) == name);
+    const auto row = page.find(number);
+    REQUIRE(row != page.end());
+    CHECK(row->second.mName == name);
+    CHECK(row->second.mOutcome == Name(OutcomeOf(code)));
+    CHECK(row->second.mStatus == HttpStatusOf(code));
+  }
+}
