Keep an instance alive when it refuses a protected request

Cause: HomeService::End passed every end to ProtectedRequest::End, which asserts that the request has started. A request that its home refused, or that found no target before its first attempt, ended the whole entry program with invariant_failed in ProtectedRequest.cpp. Conclusion: the refusal no longer ends the program.

--- a/src/HomeService.cpp
+++ b/src/HomeService.cpp
@@ -271,7 +271,12 @@
                       RecordEnding aEnding,
                       std::string aAnswer)
 {
-  aRequest->mRequest.End(aEnding, std::move(aAnswer));
+  if (aRequest->mRequest.HasStarted()) {
+    aRequest->mRequest.End(aEnding, std::move(aAnswer));
+  } else {
+    // Refused by its home, or no target was left before the first attempt.
+    aRequest->mRequest.GiveUp();
+  }
   Spawn(mExecutor, ReportEnd(std::move(aRequest)));
 }
 
