Let a leaving instance finish its protected requests

Cause: a home looked up where to send its reply in its zone views. A leaving instance is in no view, so the replies to its questions and reports were dropped. Its at-most-once requests waited for their deadline, and its stop waited for acknowledgements until the drain timeout of 10 minutes. The stop also bounded the validity of answers by its own last look-up only, although other instances name it in theirs. Change: replies to instances that no view lists go over the link on which they last sent. A stop waits for the longest TTL and the time in which heartbeats spread the leave. The share of the TTL change alone was not measured.

--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -15,6 +15,10 @@
 constexpr auto kLinkSilence = std::chrono::seconds(2);
 constexpr auto kLeaveTimeout = std::chrono::seconds(10);
 constexpr auto kStopPoll = std::chrono::milliseconds(20);
+constexpr auto kStopReport = std::chrono::seconds(5);
+/// Other instances learn of a leave from heartbeats, which are sent every
+/// 500 ms and reach another zone by way of one of its members.
+constexpr auto kLeaveSpread = std::chrono::milliseconds(1500);
 
 FleetState MakeFleetState(EntrySettings aSettings)
 {
@@ -220,11 +224,22 @@
       ttl = std::max(ttl, it.mLookupTtl);
     }
   }
-  const TimePoint lastAnswerEnds = mFrontend.LastLookup() + ttl;
+  // Answers of other instances name this one as well, so its own last answer
+  // does not bound their validity.
+  const TimePoint lastAnswerEnds = SteadyNow() + kLeaveSpread + ttl;
   co_await WaitUntil([&] { return SteadyNow() >= lastAnswerEnds; }, limit);
   mFrontend.Server().StopGracefully();
+  TimePoint nextReport = SteadyNow() + kStopReport;
   const bool drained = co_await WaitUntil(
-    [this] {
+    [&] {
+      if (SteadyNow() >= nextReport) {
+        nextReport += kStopReport;
+        Log(LogLevel::Info,
+            "stop_waits",
+            { { "busy_connections", mFrontend.Server().BusyConnections() },
+              { "busy_relays", mRelayServer.Server().BusyConnections() },
+              { "open_reports", mHomes.OpenReports() } });
+      }
       return mFrontend.Server().BusyConnections() == 0 &&
              mRelayServer.Server().BusyConnections() == 0 &&
              mHomes.OpenReports() == 0;
--- a/src/HomeService.cpp
+++ b/src/HomeService.cpp
@@ -177,11 +177,13 @@
     return;
   }
   const auto* info = mFleet.mDirectory.Find(aAction.mTo.mName);
+  peer::Home body;
+  body.mMessage = aAction.mMessage;
   if (!info) {
+    mTransport.NotifySender(
+      aAction.mTo.mName, std::move(body), aAction.mTo.mIncarnation);
     return;
   }
-  peer::Home body;
-  body.mMessage = aAction.mMessage;
   mTransport.Notify({ info->mAddress, info->mPeerPort },
                     std::move(body),
                     aAction.mTo.mIncarnation);
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -151,6 +151,15 @@
   }
 }
 
+void PeerTransport::NotifySender(const InstanceName& aTo,
+                                 PeerBody aBody,
+                                 Incarnation aReceiver)
+{
+  PeerMessage message = MakeMessage(std::move(aBody));
+  message.mReceiverIncarnation = aReceiver;
+  SendMessage(aTo, std::nullopt, message);
+}
+
 void PeerTransport::SendMessage(const InstanceName& aTo,
                                 const std::optional<IpEndpoint>& aPeer,
                                 const PeerMessage& aMessage)
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -50,6 +50,11 @@
   /// Sends a notice without a reply; lost if the peer can't be reached or is
   /// not the run `aReceiver`, unless that is 0.
   void Notify(IpEndpoint aPeer, PeerBody aBody, Incarnation aReceiver = 0);
+  /// Like `Notify`, over the last link on which `aTo` has sent something. For
+  /// replies to instances that no zone view lists, as they join or leave.
+  void NotifySender(const InstanceName& aTo,
+                    PeerBody aBody,
+                    Incarnation aReceiver);
   /// Sends a message whose envelope another part has filled in. Without an
   /// address it goes back on the link on which `aTo` last sent.
   void SendMessage(const InstanceName& aTo,
