--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -69,6 +69,7 @@
                 MembershipCallbacks())
   , mLimits(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
   , mHomes(aIo.get_executor(), mFleet, mStore, mTransport, mMembership)
+  , mSteering(aIo.get_executor(), mFleet, mTransport, mMembership)
   , mDispatcher(aIo.get_executor(),
                 mFleet,
                 MakeForwarderOptions(mFleet.mSettings))
@@ -78,6 +79,7 @@
               mMembership,
               mLimits,
               mHomes,
+              mSteering,
               mDispatcher,
               MakeForwarderOptions(mFleet.mSettings))
   , mRelayServer(aIo.get_executor(), mFleet, mDispatcher)
@@ -89,6 +91,7 @@
   MembershipService::Callbacks out;
   out.mOnInventory = [this] {
     mFrontend.OnInventory();
+    mSteering.OnInventory();
     mLimits.OnInventory();
     mTargets.UpdateOwners();
   };
@@ -97,6 +100,7 @@
   out.mOnRejoin = [this] {
     mLimits.OnRejoin();
     mHomes.OnRejoin();
+    mSteering.OnRejoin();
     mTargets.GiveUpAll();
   };
   return out;
@@ -111,6 +115,7 @@
   mMembership.Start();
   mLimits.Start();
   mHomes.Start();
+  mSteering.Start();
   mTargets.Start();
   Spawn(mIo, LinkLoop());
   Log(LogLevel::Info,
@@ -127,6 +132,7 @@
 {
   mLimits.UpdateOwners();
   mHomes.UpdateDirectory();
+  mSteering.OnDirectory();
   mTargets.UpdateOwners();
 }
 
@@ -152,6 +158,9 @@
   } else if (const auto* slots =
                std::get_if<peer::SlotHandover>(&aMessage.mBody)) {
     out = mTargets.HandleHandover(*slots);
+  } else if (const auto* steering =
+               std::get_if<peer::Steering>(&aMessage.mBody)) {
+    out = mSteering.HandleSummary(*steering);
   } else if (std::holds_alternative<peer::Home>(aMessage.mBody)) {
     mHomes.HandleMessage(aMessage);
   } else if (auto* changed =
