--- a/src/HomeService.cpp
+++ b/src/HomeService.cpp
@@ -177,11 +177,13 @@
     return;
   }
   const auto* info = mFleet.mDirectory.Find(aAction.mTo.mName);
+  peer::Home body;
+  body.mMessage = aAction.mMessage;
   if (!info) {
+    mTransport.NotifySender(
+      aAction.mTo.mName, std::move(body), aAction.mTo.mIncarnation);
     return;
   }
-  peer::Home body;
-  body.mMessage = aAction.mMessage;
   mTransport.Notify({ info->mAddress, info->mPeerPort },
                     std::move(body),
                     aAction.mTo.mIncarnation);
@@ -274,6 +276,7 @@
   if (aRequest->mRequest.HasStarted()) {
     aRequest->mRequest.End(aEnding, std::move(aAnswer));
   } else {
+    // Refused by its home, or no target was left before the first attempt.
     aRequest->mRequest.GiveUp();
   }
   Spawn(mExecutor, ReportEnd(std::move(aRequest)));
