Let another member watch the store when the first one is silent

Cause: only the first member of a view held the watch, so a zone whose first member was dead learned of no change, and a release by name would have evicted later runs of the same instance. Change: the holder notifies its zone every 2 s; without a notice the next member opens a watch and lists all kinds. A release names one run. Conclusion: releases and allotments reach a zone without its first member.

--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -130,7 +130,7 @@
 Awaitable<void> CallerFrontend::Handle(HttpConnection& aConnection)
 {
   const auto target = aConnection.Header().target();
-  const bool isLookup = target.substr(0, kLookupPath.size()) == kLookupPath;
+  const bool isLookup = target.substr(0, target.find('?')) == kLookupPath;
   if (isLookup) {
     co_await HandleLookup(aConnection);
   } else {
@@ -411,6 +411,9 @@
 
 void CallerFrontend::ObserveLoads()
 {
+  if (!mFleet.mInventory) {
+    return;
+  }
   for (const auto& [target, load] : mMembership.Table().Loads()) {
     const auto* declared = mFleet.mInventory->FindTarget(target);
     const auto selector =
--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -174,7 +174,12 @@
   } else if (aChange.mKind == "homemap") {
     mHomes.OnHomeMap(*aChange.mValue);
   } else if (aChange.mKind == "release") {
-    mMembership.OnReleased(InstanceName(aChange.mName));
+    const auto value = nlohmann::json::parse(*aChange.mValue, nullptr, false);
+    if (value.is_object() && value.contains("incarnation") &&
+        value["incarnation"].is_number_unsigned()) {
+      mMembership.OnReleased(InstanceName(aChange.mName),
+                             value["incarnation"].get<Incarnation>());
+    }
   }
 }
 
@@ -202,6 +207,7 @@
     mHomes.HandleMessage(aMessage);
   } else if (auto* changed =
                std::get_if<peer::ObjectChanged>(&aMessage.mBody)) {
+    mMembership.OnWatchNotice();
     OnObject({ changed->mKind,
                changed->mName,
                changed->mVersion,
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -16,6 +16,12 @@
 /// store calls.
 constexpr auto kWatchTimeout = std::chrono::seconds(60);
 constexpr auto kWatcherCheck = std::chrono::seconds(1);
+/// The holder of the watch tells its zone so this often. Without a notice for
+/// the silence, and a further wait for each member before it, a member opens a
+/// watch of its own.
+constexpr auto kWatchNotice = std::chrono::seconds(2);
+constexpr auto kWatchSilence = std::chrono::seconds(6);
+constexpr auto kWatchRankWait = std::chrono::seconds(3);
 constexpr auto kPlatformListInterval = std::chrono::seconds(30);
 constexpr auto kLeastRetryPause = std::chrono::milliseconds(200);
 
@@ -71,6 +77,7 @@
            { mConfiguration, mWithdrawals, mCutOff },
            SteadyNow())
   , mTickTimer(aExecutor)
+  , mWatcherHeardAt(SteadyNow())
 {
   size_t n = 0;
   for (const auto& it : aFleet.mSettings.mSeeds) {
@@ -90,6 +97,7 @@
 {
   Spawn(mExecutor, TickLoop());
   Spawn(mExecutor, WatchLoop());
+  Spawn(mExecutor, NoticeLoop());
   Spawn(mExecutor, PlatformListLoop());
 }
 
@@ -142,9 +150,24 @@
   mTable.SetLoads(std::move(aLoads));
 }
 
-void MembershipService::OnReleased(const InstanceName& aInstance)
+void MembershipService::OnReleased(const InstanceName& aInstance,
+                                   Incarnation aIncarnation)
 {
-  mTable.OnTerminated(aInstance);
+  mTable.OnTerminated(aInstance, aIncarnation);
+}
+
+void MembershipService::OnWatchNotice()
+{
+  mWatcherHeardAt = SteadyNow();
+}
+
+void MembershipService::NotifyMembers(const peer::ObjectChanged& aNotice)
+{
+  for (const auto& it : mFleet.mDirectory.Members(mFleet.mSelf.mZone)) {
+    if (it.mName != mFleet.mSelf.mName) {
+      mTransport.Notify({ it.mAddress, it.mPeerPort }, aNotice);
+    }
+  }
 }
 
 Awaitable<void> MembershipService::Pause(Duration aTime)
@@ -328,7 +351,14 @@
 bool MembershipService::IsWatcher() const
 {
   const auto& members = mTable.Zone().View().mMembers;
-  return members.empty() || members.front().mName == mFleet.mSelf.mName;
+  size_t rank = 0;
+  while (rank < members.size() && members[rank].mName != mFleet.mSelf.mName) {
+    ++rank;
+  }
+  if (rank == 0 || rank == members.size()) {
+    return true;
+  }
+  return SteadyNow() - mWatcherHeardAt > kWatchSilence + rank * kWatchRankWait;
 }
 
 void MembershipService::OnStoreChange(const StoreChange& aChange)
@@ -354,7 +384,9 @@
 
 Awaitable<bool> MembershipService::ListAll()
 {
-  static constexpr const char* kKinds[] = { kConfigurationKind, kViewKind };
+  static constexpr const char* kKinds[] = {
+    kConfigurationKind, kViewKind, "homemap", "allotment", "release"
+  };
   for (const auto* kind : kKinds) {
     auto listed = co_await mStore.List(kind);
     if (!listed) {
@@ -369,32 +401,41 @@
   co_return true;
 }
 
+Awaitable<void> MembershipService::NoticeLoop()
+{
+  while (!mStopping) {
+    if (mHoldsWatch) {
+      NotifyMembers({});
+    }
+    co_await Pause(kWatchNotice);
+  }
+}
+
 Awaitable<void> MembershipService::WatchLoop()
 {
   std::optional<uint64_t> revision;
-  bool listed = false;
   while (!mStopping) {
-    if (!listed) {
+    const bool isWatcher = IsWatcher();
+    mHoldsWatch = isWatcher && revision;
+    if (!isWatcher && mConfiguration.HasConfiguration()) {
+      revision.reset();
+      co_await Pause(kWatcherCheck);
+      continue;
+    }
+    if (!revision) {
       // The revision is taken before the objects are read, so that a write
       // between the two is seen by the watch.
-      auto start = co_await mStore.List("release");
+      auto start = co_await mStore.List("shiftstep");
+      bool listed = false;
       if (start) {
-        revision = start.value().mRevision;
         listed = co_await ListAll();
       }
-      if (!listed) {
+      if (listed) {
+        revision = start.value().mRevision;
+      } else {
         co_await Pause(
           std::max<Duration>(mStore.RetryPause(), kLeastRetryPause));
-        continue;
       }
-    }
-    if (!IsWatcher()) {
-      revision.reset();
-      co_await Pause(kWatcherCheck);
-      continue;
-    }
-    if (!revision) {
-      listed = false;
       continue;
     }
     auto changes = co_await mStore.Watch("", *revision, kWatchTimeout);
@@ -402,7 +443,9 @@
       co_return;
     }
     if (!changes) {
-      listed = changes.error().mCode != ResultCode::InvalidState;
+      if (changes.error().mCode == ResultCode::InvalidState) {
+        revision.reset();
+      }
       co_await Pause(std::max<Duration>(mStore.RetryPause(), kLeastRetryPause));
       continue;
     }
@@ -410,17 +453,9 @@
     mCutOff.NoteContact(SteadyNow());
     for (const auto& it : changes.value().mChanges) {
       OnStoreChange(it);
-      if (it.mKind == kConfigurationKind || it.mKind == kViewKind ||
-          !it.mValue) {
-        continue;
-      }
-      const peer::ObjectChanged notice{
-        it.mKind, it.mName, it.mVersion, *it.mValue
-      };
-      for (const auto& member : mFleet.mDirectory.Members(mFleet.mSelf.mZone)) {
-        if (member.mName != mFleet.mSelf.mName) {
-          mTransport.Notify({ member.mAddress, member.mPeerPort }, notice);
-        }
+      if (it.mKind != kConfigurationKind && it.mKind != kViewKind &&
+          it.mValue) {
+        NotifyMembers({ it.mKind, it.mName, it.mVersion, *it.mValue });
       }
     }
   }
--- a/src/MembershipService.h
+++ b/src/MembershipService.h
@@ -51,6 +51,9 @@
   /// The workspace of a tenant key. Errors: MissingKey, UnknownKey,
   /// WithdrawnKey, KeyPolicyCutOff.
   Result<WorkspaceName> Authenticate(std::string_view aKey) const;
+  /// Another member of the zone holds the watch.
+  void OnWatchNotice();
+
   /// Withdraws a key at once and tells peers.
   void Withdraw(const KeyId& aKey);
 
@@ -60,7 +63,7 @@
   bool IsSettled() const;
   void SetLoads(std::vector<peer::LoadSummary> aLoads);
   /// An operator states that the instance's process has ended.
-  void OnReleased(const InstanceName& aInstance);
+  void OnReleased(const InstanceName& aInstance, Incarnation aIncarnation);
 
   const MembershipTable& Table() const { return mTable; }
   const ConfigurationTracker& Configuration() const { return mConfiguration; }
@@ -69,6 +72,7 @@
 private:
   Awaitable<void> TickLoop();
   Awaitable<void> WatchLoop();
+  Awaitable<void> NoticeLoop();
   Awaitable<bool> ListAll();
   Awaitable<void> PlatformListLoop();
   Awaitable<void> ReadView();
@@ -79,7 +83,10 @@
   void OnStoreChange(const StoreChange& aChange);
   void OnViewAdopted(const ZoneView& aView);
   void RefreshDirectory();
+  /// Does this member hold the zone's watch? The first member of the view
+  /// does; a later one takes over if it hears no notice of a watch.
   bool IsWatcher() const;
+  void NotifyMembers(const peer::ObjectChanged& aNotice);
   void Rejoin();
 
   asio::any_io_executor mExecutor;
@@ -93,6 +100,9 @@
   KeyTable mKeys;
   MembershipTable mTable;
   asio::steady_timer mTickTimer;
+  /// When a member that holds the zone's watch was heard last.
+  TimePoint mWatcherHeardAt;
+  bool mHoldsWatch = false;
   bool mStopping = false;
 };
 
--- a/src/MembershipTable.cpp
+++ b/src/MembershipTable.cpp
@@ -624,9 +624,10 @@
   return out;
 }
 
-void MembershipTable::OnTerminated(const InstanceName& aInstance)
+void MembershipTable::OnTerminated(const InstanceName& aInstance,
+                                   Incarnation aIncarnation)
 {
-  mZone->OnTerminated(aInstance);
+  mZone->OnTerminated(aInstance, aIncarnation);
 }
 
 std::vector<MembershipTable::ZoneConfirmation>
--- a/src/MembershipTable.h
+++ b/src/MembershipTable.h
@@ -76,7 +76,8 @@
                                  StoreWriteOutcome aOutcome,
                                  const std::string& aVersion);
   MembershipActions BeginLeave(TimePoint aNow);
-  void OnTerminated(const InstanceName& aInstance);
+  void OnTerminated(const InstanceName& aInstance,
+                    Incarnation aIncarnation = 0);
 
   /// After `act::Ended`: joins again as a new run.
   void Rejoin(TimePoint aNow, Incarnation aIncarnation);
--- a/src/ZoneMembership.cpp
+++ b/src/ZoneMembership.cpp
@@ -146,10 +146,17 @@
                    kInitiatorStep * int(rank);
 }
 
+bool ZoneMembership::IsListedAsTerminated(const ZoneMember& aMember) const
+{
+  const auto it = mTerminated.find(aMember.mName);
+  return it != mTerminated.end() &&
+         (it->second == 0 || it->second == aMember.mIncarnation);
+}
+
 bool ZoneMembership::IsTerminated(const ZoneMember& aMember,
                                   TimePoint aNow) const
 {
-  if (!mTerminated.contains(aMember.mName)) {
+  if (!IsListedAsTerminated(aMember)) {
     return false;
   }
   if (mState == State::Joining) {
@@ -374,7 +381,7 @@
   if (mState == State::Joining) {
     auto next = mView;
     for (const auto& it : mView.mMembers) {
-      if (mTerminated.contains(it.mName) && it.mName != self.mName) {
+      if (IsListedAsTerminated(it) && it.mName != self.mName) {
         next = WithoutMember(next, it.mName, it.mIncarnation);
       }
     }
@@ -658,10 +665,11 @@
   return out;
 }
 
-void ZoneMembership::OnTerminated(const InstanceName& aInstance)
+void ZoneMembership::OnTerminated(const InstanceName& aInstance,
+                                  Incarnation aIncarnation)
 {
   if (aInstance != mOptions.mSelf.mName) {
-    mTerminated.insert(aInstance);
+    mTerminated[aInstance] = aIncarnation;
   }
 }
 
--- a/src/ZoneMembership.h
+++ b/src/ZoneMembership.h
@@ -117,7 +117,10 @@
 
   /// The platform lists the instance as terminated, or an operator has
   /// released it: its process has ended and will not return.
-  void OnTerminated(const InstanceName& aInstance);
+  /// An operator releases one run; the platform's list names an instance that
+  /// is never used again (`aIncarnation` 0).
+  void OnTerminated(const InstanceName& aInstance,
+                    Incarnation aIncarnation = 0);
 
   /// The member has completed its collection of records for a view. Written to
   /// the view in the store when it is next changed by this member.
@@ -163,6 +166,7 @@
   /// Is this the only member of the view that it acts by?
   bool IsAlone() const;
   bool IsSuspect(const ZoneMember& aMember, TimePoint aNow) const;
+  bool IsListedAsTerminated(const ZoneMember& aMember) const;
   bool IsTerminated(const ZoneMember& aMember, TimePoint aNow) const;
   /// Age up to which the store's last answer permits to evict the suspect.
   Duration StoreFreshness(const ZoneMember& aMember, TimePoint aNow) const;
@@ -189,7 +193,8 @@
   std::vector<InstanceName> mOwnNeighbours;
   size_t mRotation = 0;
   std::map<InstanceName, Eviction> mEvictions;
-  std::set<InstanceName> mTerminated;
+  /// Run that has ended by instance; 0 for any run.
+  std::map<InstanceName, Incarnation> mTerminated;
   std::map<InstanceName, ZoneMember> mJoinRequests;
   /// Runs that this member saw removed: none may return.
   std::set<std::pair<InstanceName, Incarnation>> mRemoved;
