--- /dev/null
+++ b/bench/view_size.cpp
@@ -0,0 +1,67 @@
+// Size of a zone's view as JSON text after as many changes as earlier views
+// are kept, by number of members. Prints a Markdown table.
+
+#include "ZoneView.h"
+
+#include <cstdio>
+#include <ctime>
+
+using namespace pollenway;
+
+int main()
+{
+  std::printf(
+    "| members | view alone, KB | with %zu earlier views, KB | write, "
+    "ms CPU | read, ms CPU |\n| --- | --- | --- | --- | --- |\n",
+    kHomeHistory);
+  for (const unsigned members : { 3U, 8U, 17U, 34U, 102U }) {
+    ZoneView view;
+    view.mZone = ZoneName("region-10-zone-b");
+    const auto join = [&view](unsigned aNumber, uint64_t aRun) {
+      view = WithMember(
+        view,
+        { InstanceName("region-10-zone-b-" + std::to_string(100 + aNumber)),
+          // As long as random ones usually are.
+          10'000'000'000'000'000'000ULL + aRun,
+          "10.200.100." + std::to_string(aNumber),
+          8080,
+          7070,
+          7071,
+          view.mNumber });
+    };
+    for (unsigned n = 0; n < members; ++n) {
+      join(n, n);
+    }
+    auto alone = view;
+    alone.mEarlier.clear();
+    // Restarts: each replaces one member by its next run.
+    for (unsigned n = 0; n < kHomeHistory + 2; ++n) {
+      auto earlier = view.Homes().Next({}).mEarlier;
+      join(n % members, 1000 + n);
+      view.mEarlier = std::move(earlier);
+    }
+    constexpr int kRounds = 20;
+    std::string text;
+    auto start = std::clock();
+    for (int n = 0; n < kRounds; ++n) {
+      text = ZoneViewToJson(view);
+    }
+    const double write = double(std::clock() - start);
+    start = std::clock();
+    for (int n = 0; n < kRounds; ++n) {
+      if (!ZoneViewFromJson(text)) {
+        std::fprintf(stderr, "the text of a view is refused\n");
+        return 1;
+      }
+    }
+    const double read = double(std::clock() - start);
+    const double unit = 1e3 / CLOCKS_PER_SEC / kRounds;
+    std::printf("| %u | %.1f | %.1f | %.2f | %.2f |\n",
+                members,
+                double(ZoneViewToJson(alone).size()) / 1e3,
+                double(text.size()) / 1e3,
+                write * unit,
+                read * unit);
+  }
+  return 0;
+}
