Read configurations in linear time; close idle peer links

Change: a pass over parser events finds repeated members, then a plain parse; links idle for 60 s are closed; the platform's list is read every 60 s a zone. Conclusion: the cost of a configuration now grows with its size only.

--- a/src/JsonParse.cpp
+++ b/src/JsonParse.cpp
@@ -18,8 +18,19 @@
   return static_cast<unsigned char>(aChar) < 0x20 || aChar == 0x7f;
 }
 
-// Follows the parser's events to know the path of the current value.
-class DuplicateCheck
+// The library's message without its exception tag and without the text last
+// read, which may be long or not valid UTF-8.
+std::string MessageOf(const json::exception& aException)
+{
+  std::string_view text = aException.what();
+  text.remove_prefix(std::min(text.size(), text.find("] ") + 2));
+  return std::string(text.substr(0, text.find("; last read")));
+}
+
+// Receives the parser's events to find repeated members and the path of the
+// current value. The parser's callback interface could do the same while it
+// builds the document, but takes time quadratic in the length of arrays.
+class DuplicateCheck : public json::json_sax_t
 {
 public:
   explicit DuplicateCheck(std::vector<Error>& aErrors)
@@ -27,28 +38,40 @@
   {
   }
 
-  bool operator()(json::parse_event_t aEvent, const json& aParsed)
+  // Names that the library calls.
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool null() override { return CountElement(); }
+  bool boolean(bool) override { return CountElement(); }
+  bool number_integer(number_integer_t) override { return CountElement(); }
+  bool number_unsigned(number_unsigned_t) override { return CountElement(); }
+  bool number_float(number_float_t, const string_t&) override
   {
-    switch (aEvent) {
-      case json::parse_event_t::object_start:
-      case json::parse_event_t::array_start:
-        CountElement();
-        mLevels.emplace_back().mIsArray =
-          aEvent == json::parse_event_t::array_start;
-        break;
-      case json::parse_event_t::object_end:
-      case json::parse_event_t::array_end:
-        mLevels.pop_back();
-        break;
-      case json::parse_event_t::key:
-        EnterMember(aParsed.get_ref<const std::string&>());
-        break;
-      case json::parse_event_t::value:
-        CountElement();
-        break;
-    }
+    return CountElement();
+  }
+  bool string(string_t&) override { return CountElement(); }
+  bool binary(binary_t&) override { return CountElement(); }
+  bool start_object(size_t) override { return Enter(false); }
+  bool end_object() override { return Leave(); }
+  bool start_array(size_t) override { return Enter(true); }
+  bool end_array() override { return Leave(); }
+  bool key(string_t& aName) override
+  {
+    EnterMember(aName);
     return true;
   }
+  bool parse_error(size_t,
+                   const std::string&,
+                   const json::exception& aException) override
+  {
+    const bool isSyntax =
+      dynamic_cast<const json::parse_error*>(&aException) != nullptr;
+    mErrors.push_back(
+      { isSyntax ? ResultCode::SyntaxError : ResultCode::OutOfRange,
+        MessageOf(aException),
+        isSyntax ? std::string(kDocumentPath) : Path() });
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
 
   std::string Path() const
   {
@@ -70,11 +93,25 @@
     std::unordered_set<std::string> mMembers;
   };
 
-  void CountElement()
+  bool CountElement()
   {
     if (!mLevels.empty() && mLevels.back().mIsArray) {
       ++mLevels.back().mElements;
     }
+    return true;
+  }
+
+  bool Enter(bool aIsArray)
+  {
+    CountElement();
+    mLevels.emplace_back().mIsArray = aIsArray;
+    return true;
+  }
+
+  bool Leave()
+  {
+    mLevels.pop_back();
+    return true;
   }
 
   void EnterMember(const std::string& aName)
@@ -92,15 +129,6 @@
   std::vector<Level> mLevels;
 };
 
-// The library's message without its exception tag and without the text last
-// read, which may be long or not valid UTF-8.
-std::string MessageOf(const json::exception& aException)
-{
-  std::string_view text = aException.what();
-  text.remove_prefix(std::min(text.size(), text.find("] ") + 2));
-  return std::string(text.substr(0, text.find("; last read")));
-}
-
 } // namespace
 
 bool ParseJson(std::string_view aText,
@@ -108,23 +136,11 @@
                std::vector<Error>& aErrors)
 {
   DuplicateCheck check(aErrors);
-  try {
-    aDocument =
-      json::parse(aText.begin(),
-                  aText.end(),
-                  [&](int, json::parse_event_t aEvent, const json& aParsed) {
-                    return check(aEvent, aParsed);
-                  });
-    return true;
-  } catch (const json::parse_error& error) {
-    aErrors.push_back({ ResultCode::SyntaxError,
-                        MessageOf(error),
-                        std::string(kDocumentPath) });
-  } catch (const json::exception& error) {
-    aErrors.push_back(
-      { ResultCode::OutOfRange, MessageOf(error), check.Path() });
+  if (!json::sax_parse(aText, &check)) {
+    return false;
   }
-  return false;
+  aDocument = json::parse(aText);
+  return true;
 }
 
 std::string ChildPath(std::string_view aParent, std::string_view aName)
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -22,7 +22,7 @@
 constexpr auto kWatchNotice = std::chrono::seconds(2);
 constexpr auto kWatchSilence = std::chrono::seconds(6);
 constexpr auto kWatchRankWait = std::chrono::seconds(3);
-constexpr auto kPlatformListInterval = std::chrono::seconds(30);
+constexpr auto kPlatformListInterval = std::chrono::seconds(60);
 constexpr auto kLeastRetryPause = std::chrono::milliseconds(200);
 
 constexpr char kViewKind[] = "zoneview";
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
+constexpr auto kMaxIdle = std::chrono::seconds(60);
 /// Frames that may wait for a link to be connected.
 constexpr size_t kMaxWaitingFrames = 1024;
 
@@ -312,6 +313,16 @@
 void PeerTransport::DropSilentLinks(Duration aSilence)
 {
   const TimePoint now = SteadyNow();
+  // Each link holds a read buffer; in a large fleet most are used once.
+  std::erase_if(mLinks, [&](const auto& aEntry) {
+    const auto& out = aEntry.second;
+    const bool idle = out.mLink && !out.mConnecting && !out.mUnansweredSince &&
+                      now - out.mLink->LastReceived() > kMaxIdle;
+    if (idle) {
+      out.mLink->Close();
+    }
+    return idle;
+  });
   for (auto& [peer, out] : mLinks) {
     const bool silent = out.mLink && out.mLink->IsOpen() &&
                         out.mUnansweredSince &&
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -66,7 +66,8 @@
   /// Closes the link to a peer; the next message connects anew.
   void CloseLink(const IpEndpoint& aPeer);
   /// Closes links on which nothing arrived for `aSilence` although a call is
-  /// open; the next call connects anew.
+  /// open, and links that have been idle for a minute; the next call connects
+  /// anew.
   void DropSilentLinks(Duration aSilence);
   void Stop();
   const PeerStatistics& Statistics() const { return mStatistics; }
