--- a/src/ZoneView.h
+++ b/src/ZoneView.h
@@ -43,7 +43,7 @@
   /// Members of earlier views by number, at most `kHomeHistory` of them. The
   /// homes of idempotency records need them to collect records if the view
   /// changed again before they had done so.
-  std::map<uint64_t, std::vector<HomeMember>> mEarlier;
+  std::map<uint64_t, std::vector<HomeMember>> mEarlier{};
 
   bool operator==(const ZoneView&) const = default;
 
