Adopt only committed zone views; bound attempts; mind drains in the choice

Cause: (1) MembershipService passed a watched view of its own zone to OnStoreRead, which ends the wait for the member's own store call. A second write was proposed while the first was in flight, and the first one's success was taken for the second's: a view was adopted that the store never held (faro-b-1 adopted number 2 with faro-b-2; the store had number 2 with faro-b-3). (2) The slot owner did not apply the attempt's timeout to its own requests, so one silent connection used up the deadline. (3) The receiver did not pass on that a target takes no work; a draining target has the least load and was chosen first.

--- a/src/BackendDispatcher.cpp
+++ b/src/BackendDispatcher.cpp
@@ -39,7 +39,8 @@
 }
 
 Awaitable<AttemptResult> BackendDispatcher::Dispatch(RequestContext& aRequest,
-                                                     const Target& aTarget)
+                                                     const Target& aTarget,
+                                                     Duration aTimeout)
 {
   AttemptResult result;
   SlotTicket ticket;
@@ -67,8 +68,8 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
   const tcp::endpoint endpoint(asio::ip::make_address(aTarget.mAddress),
                                aTarget.mPort);
-  result =
-    co_await mForwarder.Forward(aRequest, endpoint, std::move(head), left);
+  result = co_await mForwarder.Forward(
+    aRequest, endpoint, std::move(head), std::min(left, aTimeout));
   mSlots.Release(ticket);
   ServeQueue(aTarget.mName);
   co_return result;
--- a/src/BackendDispatcher.h
+++ b/src/BackendDispatcher.h
@@ -21,9 +21,10 @@
 
   /// One attempt at a target. Refused as not run if this instance is not the
   /// target's slot owner, the target takes no work, the queue is full or the
-  /// deadline passes first.
+  /// deadline passes first. `aTimeout` bounds the wait for the answer's header.
   Awaitable<AttemptResult> Dispatch(RequestContext& aRequest,
-                                    const Target& aTarget);
+                                    const Target& aTarget,
+                                    Duration aTimeout = Duration::max());
 
   SlotTable& Slots() { return mSlots; }
   /// Starts requests that wait, after slots became free.
--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -318,7 +318,7 @@
     co_return result;
   }
   if (owner->mName == mFleet.mSelf.mName) {
-    result = co_await mDispatcher.Dispatch(aRequest, *target);
+    result = co_await mDispatcher.Dispatch(aRequest, *target, aTimeout);
   } else {
     result = co_await mRelay.Relay(aRequest, aTarget, *owner, aTimeout);
   }
@@ -410,6 +410,10 @@
       target,
       { .mLoad = double(summary.mInFlight + summary.mQueued),
         .mCounted = load.mObservedAt });
+    // A draining target has the least load; without this it would be chosen
+    // first and refuse.
+    selector->second.OnHealthReport(
+      target, { .mDraining = summary.mUsableSlots == 0 }, load.mObservedAt);
   }
 }
 
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -340,12 +340,10 @@
     OfferConfiguration(0, *aChange.mValue);
   } else if (aChange.mKind == kViewKind) {
     auto view = ZoneViewFromJson(*aChange.mValue);
-    if (view && view.value().mZone != mFleet.mSelf.mZone) {
+    // Not `OnStoreRead`: that ends the wait for this member's own store call,
+    // and the answer to a write in flight would be taken for a later one's.
+    if (view && view.value().mZone.Text() == aChange.mName) {
       Carry(mTable.OfferView(SteadyNow(), view.value()));
-    } else if (view && aChange.mName == mFleet.mSelf.mZone.Text()) {
-      Carry(mTable.OnStoreRead(SteadyNow(),
-                               Result<std::string>(*aChange.mValue),
-                               std::to_string(aChange.mVersion)));
     }
   } else {
     mCallbacks.mOnObject(aChange);
