Refuse a protected request when its run window has passed

Cause: the receiver asked an unreachable home until the request's deadline, up to 120 s for uploads, although it uses no permission after the run window (4 s). Change: HomeService::Begin gives up at the end of the run window.

--- a/src/HomeService.cpp
+++ b/src/HomeService.cpp
@@ -245,9 +245,12 @@
   std::shared_ptr<Protected> aRequest,
   TimePoint aDeadline)
 {
+  // A later permission would not be used any more.
+  const TimePoint limit =
+    std::min<TimePoint>(aDeadline, SteadyNow() + mOptions.mRunWindow);
   while (aRequest->mStep == ProtectedRequest::Step::Wait) {
     const TimePoint now = SteadyNow();
-    if (now >= aDeadline) {
+    if (now >= limit) {
       aRequest->mStep = aRequest->mRequest.GiveUp();
       break;
     }
@@ -258,7 +261,7 @@
     }
     if (aRequest->mStep == ProtectedRequest::Step::Wait) {
       co_await Wait(aRequest->mTimer,
-                    std::min<Duration>(mOptions.mResend, aDeadline - now));
+                    std::min<Duration>(mOptions.mResend, limit - now));
     }
   }
   co_return aRequest->mStep;
