--- a/src/BackendDispatcher.cpp
+++ b/src/BackendDispatcher.cpp
@@ -54,7 +54,8 @@
 }
 
 Awaitable<AttemptResult> BackendDispatcher::Dispatch(RequestContext& aRequest,
-                                                     const Target& aTarget)
+                                                     const Target& aTarget,
+                                                     Duration aTimeout)
 {
   AttemptResult result;
   SlotTicket ticket;
@@ -91,8 +92,8 @@
                                aTarget.mPort);
   const TargetName name = aTarget.mName;
   mInFlight[name].push_back(aRequest.mFingerprint);
-  result =
-    co_await mForwarder.Forward(aRequest, endpoint, std::move(head), left);
+  result = co_await mForwarder.Forward(
+    aRequest, endpoint, std::move(head), std::min(left, aTimeout));
   mSlots.Release(ticket);
   ServeQueue(name);
   co_await ObserveEnd(
