Take the bounds of the steering runs from stated goals

Cause: bounds on refused look-ups and changes of region had been set from observed runs. Conclusion: an instance short of loans must ask an owner rather than refuse; not built.

--- /dev/null
+++ b/test/correctness/LookupRefusals.cpp
@@ -0,0 +1,26 @@
+#include "../FleetModel.h"
+
+using namespace pollenway;
+using namespace pollenway::fleet_model;
+
+// Guards against look-ups that are refused although capacity is left. The goal
+// for wrongful refusals is 0.1 % with the whole fleet connected.
+TEST_CASE("a connected fleet with room refuses no look-ups")
+{
+  const double demands[] = { 0.4, 0.5, 0.6 };
+  for (const double demand : demands) {
+    CAPTURE(demand);
+    Fleet fleet(11, demand);
+    fleet.mFaultsOn = false;
+    for (size_t i = 0; i < 400; ++i) {
+      fleet.Step();
+    }
+    const Tally before = fleet.mTally;
+    for (size_t i = 0; i < 400; ++i) {
+      fleet.Step();
+    }
+    const double refusals = double(fleet.mTally.mRefusals - before.mRefusals);
+    const double answers = double(fleet.mTally.mAnswers - before.mAnswers);
+    CHECK(refusals <= 0.001 * (answers + refusals));
+  }
+}
