--- a/src/ZoneMembership.h
+++ b/src/ZoneMembership.h
@@ -62,8 +62,8 @@
   MembershipActions Tick(TimePoint aNow);
 
   /// The answer to `act::ReadView`: the text of the object and its version,
-  /// both empty if it does not exist, or an error. Also takes what a watch
-  /// reports.
+  /// both empty if it does not exist, or an error. What a watch reports goes to
+  /// `OnView`, as this call ends the wait for an answer.
   MembershipActions OnStoreRead(TimePoint aNow,
                                 const Result<std::string>& aText,
                                 const std::string& aVersion);
