Write listening and the keeping of small bodies once

Cause: two servers bound their acceptors by the same code, and the caller's and the relay's handler kept small bodies by the same code.

--- a/src/CallerFrontend.cpp
+++ b/src/CallerFrontend.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-/// Bodies up to this size are kept whole, so that they can be sent again.
-constexpr size_t kKeptBodyBytes = 64 * 1024;
 const beast::string_view kLookupPath = "/.pollenway/lookup";
 
 /// Share of the time left that an attempt may take if another can follow. A
@@ -266,21 +264,9 @@
     std::min<Duration>(std::chrono::milliseconds(deadlineMs), service.mTimeout);
   request.mIdleTimeout = service.mIdleTimeout;
   aConnection.SetIdleTimeout(service.mIdleTimeout);
-  const auto length = aConnection.BodyLength();
-  if (length && *length <= kKeptBodyBytes) {
-    auto body = co_await aConnection.ReadBody(kKeptBodyBytes);
-    if (!body) {
-      aRecord.mCode = body.error().mCode;
-      co_return;
-    }
-    request.mBody = std::move(body.value());
-    request.mBodyKept = true;
-    aConnection.WatchDisconnect([&request] {
-      request.mCallerGone = true;
-      if (request.mCancel) {
-        request.mCancel();
-      }
-    });
+  const bool isWhole = co_await KeepSmallBody(request);
+  if (!isWhole) {
+    co_return;
   }
   request.mFingerprint =
     RequestFingerprint::Of(request.mWorkspace, method, path, request.mBody);
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -3,6 +3,7 @@
 #include "Logger.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
+#include "TcpListen.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -47,26 +48,7 @@
 
 Result<void> PeerTransport::Listen(const std::string& aAddress, uint16_t aPort)
 {
-  ErrorCode ec;
-  const tcp::endpoint endpoint(asio::ip::make_address(aAddress, ec), aPort);
-  if (!ec) {
-    mAcceptor.open(endpoint.protocol(), ec);
-  }
-  if (!ec) {
-    mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  }
-  if (!ec) {
-    mAcceptor.bind(endpoint, ec);
-  }
-  if (!ec) {
-    mAcceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return Error{ ResultCode::InvalidState,
-                  "can't listen on " + aAddress + ":" + std::to_string(aPort) +
-                    ": " + ec.message(),
-                  {} };
-  }
+  BOOST_OUTCOME_TRYV(ListenOn(mAcceptor, aAddress, aPort));
   Spawn(mExecutor, Accept());
   return outcome::success();
 }
--- a/src/RelayServer.cpp
+++ b/src/RelayServer.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-/// Bodies up to this size are kept whole, so that they can be sent again.
-constexpr size_t kKeptBodyBytes = 64 * 1024;
-
 TextResponse RelayRefusal(ResultCode aCode)
 {
   TextResponse answer = MakeRefusal(aCode, "refused by the slot owner");
@@ -75,20 +72,9 @@
   request.mDeadline = SteadyNow() + left;
   request.mIdleTimeout = service->mIdleTimeout;
   aConnection.SetIdleTimeout(service->mIdleTimeout);
-  const auto length = aConnection.BodyLength();
-  if (length && *length <= kKeptBodyBytes) {
-    auto body = co_await aConnection.ReadBody(kKeptBodyBytes);
-    if (!body) {
-      co_return;
-    }
-    request.mBody = std::move(body.value());
-    request.mBodyKept = true;
-    aConnection.WatchDisconnect([&request] {
-      request.mCallerGone = true;
-      if (request.mCancel) {
-        request.mCancel();
-      }
-    });
+  const bool isWhole = co_await KeepSmallBody(request);
+  if (!isWhole) {
+    co_return;
   }
   RemoveHopFields(head);
   RemovePrivateFields(head);
--- /dev/null
+++ b/src/RequestContext.cpp
@@ -0,0 +1,33 @@
+#include "RequestContext.h"
+
+namespace pollenway {
+
+namespace {
+
+/// Bodies up to this size are kept whole, so that they can be sent again.
+constexpr size_t kKeptBodyBytes = 64 * 1024;
+
+} // namespace
+
+Awaitable<bool> KeepSmallBody(RequestContext& aRequest)
+{
+  const auto length = aRequest.mSource.BodyLength();
+  if (!length || *length > kKeptBodyBytes) {
+    co_return true;
+  }
+  auto body = co_await aRequest.mSource.ReadBody(kKeptBodyBytes);
+  if (!body) {
+    co_return false;
+  }
+  aRequest.mBody = std::move(body.value());
+  aRequest.mBodyKept = true;
+  aRequest.mSource.WatchDisconnect([&aRequest] {
+    aRequest.mCallerGone = true;
+    if (aRequest.mCancel) {
+      aRequest.mCancel();
+    }
+  });
+  co_return true;
+}
+
+} // namespace pollenway
--- a/src/RequestContext.h
+++ b/src/RequestContext.h
@@ -42,4 +42,8 @@
   DecisionRecord* mRecord = nullptr;
 };
 
+/// Reads a small body whole and then watches for the caller's disconnect; a
+/// larger one stays to be streamed. False if the body ended early.
+Awaitable<bool> KeepSmallBody(RequestContext& aRequest);
+
 } // namespace pollenway
