Ask other zones' owners while the own zone's is out of reach

Cause: with the store down a killed instance keeps its accounts, so its zone refused all requests of their workspaces; calls to a dead process waited 600 ms. Change: an instance asks the owners of the two nearest other zones for 2 s at a time; calls to a peer that refuses the connection fail at once. Conclusion: a zone goes on serving with tokens of its neighbours; keys with their home on the dead instance stay refused as not run.

--- a/src/AccountClient.cpp
+++ b/src/AccountClient.cpp
@@ -103,6 +103,15 @@
   return lost;
 }
 
+void AccountClient::AskElsewhere(const ZoneName& aZone,
+                                 Duration aValidity,
+                                 TimePoint aNow)
+{
+  mAdvisedZone = aZone;
+  mAdvisedValidity = std::min(aValidity, kMaxGrantValidity);
+  mAdviceUntil = aNow + mOptions.mDetourLife;
+}
+
 void AccountClient::OnOwnerChange()
 {
   mAdviceUntil = TimePoint{};
--- a/src/AccountClient.h
+++ b/src/AccountClient.h
@@ -30,6 +30,9 @@
     Duration mAnswerTimeout = std::chrono::seconds(1);
     /// How long an owner's advice to ask another zone is followed.
     Duration mAdviceLife = std::chrono::seconds(10);
+    /// How long another zone is asked because the own zone's owner is out of
+    /// reach, before that is tried again.
+    Duration mDetourLife = std::chrono::seconds(2);
   };
 
   enum class Verdict
@@ -63,6 +66,10 @@
   /// that wait for them with LimitOwnerUnavailable.
   std::vector<uint64_t> OnTimer(TimePoint aNow);
 
+  /// The owner of the own zone can't be reached: asks that of `aZone` for the
+  /// next seconds. `aValidity` must cover the way there and back.
+  void AskElsewhere(const ZoneName& aZone, Duration aValidity, TimePoint aNow);
+
   /// The workspace's account moved to another owner or zone: forgets advice.
   void OnOwnerChange();
 
--- a/src/LimitService.cpp
+++ b/src/LimitService.cpp
@@ -12,11 +12,20 @@
 /// Longest wait for an owner, which may in turn ask other zones' owners.
 constexpr auto kAdmitTimeout = std::chrono::milliseconds(600);
 constexpr auto kHandoverTimeout = std::chrono::milliseconds(90);
+/// Other zones' owners that are asked if the own zone's is out of reach.
+constexpr size_t kMostDetours = 2;
+constexpr auto kDetourSlack = std::chrono::milliseconds(40);
 constexpr auto kLeastTimer = std::chrono::milliseconds(1);
 constexpr double kZoneLatencyMs = 0.5;
 
 constexpr char kAllotmentKind[] = "allotment";
 
+bool IsOwnerMissing(const AccountClient::Decision& aDecision)
+{
+  return aDecision.mVerdict == AccountClient::Verdict::Refused &&
+         aDecision.mCode == ResultCode::LimitOwnerUnavailable;
+}
+
 AdmitReply Unavailable(const AdmitRequest& aRequest)
 {
   AdmitReply reply;
@@ -467,22 +476,56 @@
   co_return out;
 }
 
-Awaitable<LimitService::Decision> LimitService::Admit(WorkspaceName aWorkspace)
+Awaitable<AccountClient::Decision> LimitService::AdmitOnce(
+  WorkspaceName aWorkspace)
 {
-  Decision out;
+  AccountClient::Decision decision;
+  decision.mCode = ResultCode::LimitOwnerUnavailable;
   auto it = mAccounts.find(aWorkspace);
   if (it == mAccounts.end()) {
-    co_return out;
+    co_return decision;
   }
-  auto decision = it->second.mClient->Admit(SteadyNow());
+  decision = it->second.mClient->Admit(SteadyNow());
   if (decision.mVerdict == AccountClient::Verdict::Ask) {
     const AdmitReply reply =
       co_await AskOwner(aWorkspace, decision.mTo, std::move(decision.mRequest));
     it = mAccounts.find(aWorkspace);
-    if (it == mAccounts.end()) {
-      co_return out;
+    if (it != mAccounts.end()) {
+      decision = it->second.mClient->OnReply(reply, SteadyNow());
+    }
+  }
+  co_return decision;
+}
+
+Awaitable<AccountClient::Decision> LimitService::AdmitElsewhere(
+  WorkspaceName aWorkspace,
+  AccountClient::Decision aRefusal)
+{
+  auto zones = OtherZones();
+  std::sort(
+    zones.begin(), zones.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mLatency < aRight.mLatency;
+    });
+  zones.resize(std::min(zones.size(), kMostDetours));
+  AccountClient::Decision decision = std::move(aRefusal);
+  for (const auto& zone : zones) {
+    const auto it = mAccounts.find(aWorkspace);
+    if (!IsOwnerMissing(decision) || it == mAccounts.end()) {
+      break;
     }
-    decision = it->second.mClient->OnReply(reply, SteadyNow());
+    it->second.mClient->AskElsewhere(
+      zone.mZone, 2 * zone.mLatency + kDetourSlack, SteadyNow());
+    decision = co_await AdmitOnce(aWorkspace);
+  }
+  co_return decision;
+}
+
+Awaitable<LimitService::Decision> LimitService::Admit(WorkspaceName aWorkspace)
+{
+  Decision out;
+  auto decision = co_await AdmitOnce(aWorkspace);
+  if (IsOwnerMissing(decision)) {
+    decision = co_await AdmitElsewhere(aWorkspace, decision);
   }
   if (decision.mVerdict == AccountClient::Verdict::Granted) {
     ++mCounts.mAdmitted;
--- a/src/LimitService.h
+++ b/src/LimitService.h
@@ -84,6 +84,12 @@
   };
 
   Awaitable<void> TimerLoop();
+  Awaitable<AccountClient::Decision> AdmitOnce(WorkspaceName aWorkspace);
+  /// Asks other zones' owners, which may have tokens, in place of the own
+  /// zone's.
+  Awaitable<AccountClient::Decision> AdmitElsewhere(
+    WorkspaceName aWorkspace,
+    AccountClient::Decision aRefusal);
   Awaitable<AdmitReply> AskOwner(WorkspaceName aWorkspace,
                                  ZoneName aZone,
                                  AdmitRequest aRequest);
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -199,6 +199,7 @@
   auto waiting = std::exchange(out.mWaiting, {});
   if (!connected || mStopping) {
     link->Close();
+    FailCalls(aPeer);
     co_return;
   }
   out.mLink = link;
@@ -208,6 +209,15 @@
   }
 }
 
+void PeerTransport::FailCalls(const IpEndpoint& aPeer)
+{
+  for (const auto& [id, call] : mPending) {
+    if (call->mPeer == aPeer) {
+      call->mTimer.cancel();
+    }
+  }
+}
+
 void PeerTransport::OnFrame(const std::shared_ptr<PeerLink>& aLink,
                             std::string aFrame)
 {
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -89,6 +89,9 @@
 
   void SendTo(const IpEndpoint& aPeer, std::string aFrame);
   Awaitable<void> ConnectTo(IpEndpoint aPeer);
+  /// Ends the calls to a peer that can't be connected to, without waiting for
+  /// their time-outs.
+  void FailCalls(const IpEndpoint& aPeer);
   Awaitable<void> Accept();
   void OnFrame(const std::shared_ptr<PeerLink>& aLink, std::string aFrame);
   void OnReply(const std::shared_ptr<PeerLink>& aLink, PeerMessage aMessage);
