--- /dev/null
+++ b/test/error/HttpServer.cpp
@@ -0,0 +1,89 @@
+#include "HttpServer.h"
+
+#include "HttpClientPool.h"
+#include "Spawn.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace pollenway;
+
+namespace {
+
+Awaitable<void> AnswerOk(HttpConnection& aConnection)
+{
+  auto body = co_await aConnection.ReadBody(1024);
+  TextResponse answer(http::status::ok, 11);
+  answer.body() = body ? "ok" : "refused";
+  co_await aConnection.Write(std::move(answer));
+}
+
+/// Everything that the server sends before it closes the connection, which the
+/// client half-closes after `aText`.
+Awaitable<std::string> Exchange(tcp::endpoint aEndpoint, std::string aText)
+{
+  const auto executor = co_await asio::this_coro::executor;
+  tcp::socket socket(executor);
+  ErrorCode ec;
+  co_await socket.async_connect(aEndpoint, Into(ec));
+  co_await asio::async_write(socket, asio::buffer(aText), Into(ec));
+  socket.shutdown(tcp::socket::shutdown_send, ec);
+  std::string answer;
+  co_await asio::async_read(socket, asio::dynamic_buffer(answer), Into(ec));
+  co_return answer;
+}
+
+} // namespace
+
+// Guards against input that ends or hangs the server, and against malformed
+// requests that get no clear error or an answer that says they ran.
+TEST_CASE("malformed HTTP gets an error and the server keeps serving")
+{
+  struct Row
+  {
+    std::string mText;
+    /// Start of the answer; empty: the connection is closed without one.
+    std::string mAnswer;
+  };
+  const std::string longField(64 * 1024, 'a');
+  const Row rows[] = {
+    { "\x16\x03\x01 not http\r\n\r\n", "HTTP/1.1 400" },
+    { "GET\r\n\r\n", "HTTP/1.1 400" },
+    { "GET / HTTP/9.9\r\n\r\n", "HTTP/1.1 400" },
+    { "GET / HTTP/1.1\r\nA: " + longField + "\r\n\r\n", "HTTP/1.1 400" },
+    { "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", "HTTP/1.1 400" },
+    { "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc", "HTTP/1.1 200" },
+    { "GET / HTTP/1.1\r\nHos", "" },
+    { "", "" },
+  };
+  asio::io_context io;
+  HttpServer server(io.get_executor(), {}, AnswerOk);
+  REQUIRE(server.Listen("127.0.0.1", 0));
+  size_t done = 0;
+  Spawn(io, [&]() -> Awaitable<void> {
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                 server.Port());
+    for (const auto& it : rows) {
+      const std::string answer = co_await Exchange(endpoint, it.mText);
+      const std::string sent = it.mText.substr(0, 40);
+      CAPTURE(sent);
+      CAPTURE(answer);
+      CHECK(answer.substr(0, 12) == it.mAnswer);
+      if (it.mAnswer == "HTTP/1.1 400") {
+        CHECK(answer.find("Pollenway-Outcome: not-run") != std::string::npos);
+      }
+      if (it.mAnswer == "HTTP/1.1 200") {
+        CHECK(answer.find("refused") != std::string::npos);
+      }
+      ++done;
+    }
+    const std::string good =
+      co_await Exchange(endpoint, "GET / HTTP/1.1\r\n\r\n");
+    CHECK(good.substr(0, 12) == "HTTP/1.1 200");
+    server.Abort();
+  });
+  io.run();
+  CHECK(done == std::size(rows));
+}
