--- a/bench/limits_model.cpp
+++ b/bench/limits_model.cpp
@@ -17,6 +17,10 @@
 DEFINE_uint64(seed, 1, "seed of the arrivals");
 DEFINE_uint64(requests, 300000, "requests in each run");
 DEFINE_bool(options, false, "also run the options that were not chosen");
+DEFINE_bool(
+  no_movement,
+  false,
+  "also run the baselines without share movement, which take minutes");
 
 using namespace pollenway;
 using std::chrono::microseconds;
@@ -447,13 +451,15 @@
     split.mName = "baseline: static split by instance, one zone";
     split.mFirstZonePart = 1;
     Print(split);
-    Setup still = steered;
-    still.mName = "baseline: no share movement, even, owner in own zone";
-    still.mPolicy = Policy::Exchange;
-    Print(still);
-    still.mName = "baseline: no share movement, one zone, owner in own zone";
-    still.mFirstZonePart = 1;
-    Print(still);
+    if (FLAGS_no_movement) {
+      Setup still = steered;
+      still.mName = "baseline: no share movement, even, owner in own zone";
+      still.mPolicy = Policy::Exchange;
+      Print(still);
+      still.mName = "baseline: no share movement, one zone, owner in own zone";
+      still.mFirstZonePart = 1;
+      Print(still);
+    }
     if (FLAGS_options) {
       for (const uint32_t reserve : { 0u, 20'000u, 50'000u }) {
         for (const bool divided : { false, true }) {
