Write the held grant of an account once

Cause: grants to instances and to owners repeated the same steps. Change: GrantHeld does both. Conclusion: no change of behaviour.

--- a/src/AccountHolder.cpp
+++ b/src/AccountHolder.cpp
@@ -504,8 +504,20 @@
     aActions.mReplies.push_back({ request.mFrom, false, reply });
     return true;
   }
-  const double extra = std::min(double(request.mCount) - 1,
-                                (tokens - 1) * mOptions.mBatchExtraPart);
+  return GrantHeld(
+    aWaiting, tokens, mOptions.mBatchExtraPart, false, aNow, aActions);
+}
+
+bool AccountHolder::GrantHeld(const Waiting& aWaiting,
+                              double aTokens,
+                              double aExtraPart,
+                              bool aToOwner,
+                              TimePoint aNow,
+                              Actions& aActions)
+{
+  const AdmitRequest& request = aWaiting.mRequest;
+  const double extra =
+    std::min(double(request.mCount) - 1, (aTokens - 1) * aExtraPart);
   const uint32_t count = 1 + uint32_t(std::max(0.0, extra));
   const Duration validity = std::min(request.mValidity, kMaxGrantValidity);
   // Deducted and held before the answer exists: a lost answer loses tokens.
@@ -520,7 +532,7 @@
   reply.mGranted = count;
   // A validity that was cut is cut at the receiver too.
   reply.mHeld = aNow - aWaiting.mReceived - (request.mValidity - validity);
-  aActions.mReplies.push_back({ request.mFrom, false, reply });
+  aActions.mReplies.push_back({ request.mFrom, aToOwner, reply });
   return true;
 }
 
@@ -535,22 +547,8 @@
   if (tokens + kRounding < 1) {
     return false;
   }
-  const double extra = std::min(double(request.mCount) - 1,
-                                (tokens - 1) * mOptions.mOwnerExtraPart);
-  const uint32_t count = 1 + uint32_t(std::max(0.0, extra));
-  const Duration validity = std::min(request.mValidity, kMaxGrantValidity);
-  if (!mBucket.TakeHeld(count,
-                        aNow,
-                        aNow + HoldTime(validity),
-                        HolderKey(request),
-                        request.mId)) {
-    return false;
-  }
-  AdmitReply reply = MakeReply(request, ResultCode::Ok, aNow);
-  reply.mGranted = count;
-  reply.mHeld = aNow - aWaiting.mReceived - (request.mValidity - validity);
-  aActions.mReplies.push_back({ request.mFrom, true, reply });
-  return true;
+  return GrantHeld(
+    aWaiting, tokens, mOptions.mOwnerExtraPart, true, aNow, aActions);
 }
 
 void AccountHolder::PassOn(const Waiting& aWaiting,
--- a/src/AccountHolder.h
+++ b/src/AccountHolder.h
@@ -213,6 +213,14 @@
   Duration RetryAfter(TimePoint aNow);
   /// False if there is not a whole token.
   bool TryGrant(const Waiting& aWaiting, TimePoint aNow, Actions& aActions);
+  /// Grants one token and a part of the others beyond it, held until the
+  /// grant's validity ends. False if the bucket refuses.
+  bool GrantHeld(const Waiting& aWaiting,
+                 double aTokens,
+                 double aExtraPart,
+                 bool aToOwner,
+                 TimePoint aNow,
+                 Actions& aActions);
   bool TryGrantToOwner(const Waiting& aWaiting,
                        TimePoint aNow,
                        Actions& aActions);
