Place objects by the capacity of zones and keep them at their homes

Ruled out: replicated objects; a log of object hashes shows that each object is asked for in one zone (645 lookup objects, nearly all in one or two zones). Change: PlacementPlan gives each zone's objects homes in the zone, the region or elsewhere by slots and demand; TargetRanking leaves the home only where another of the next three answers sooner even cold; a retry budget starts with one retry until the number of instances is known.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -33,8 +33,6 @@
 constexpr double kUsedRetryPart = 0.6;
 /// Bodies from this size on are expensive to carry between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
-constexpr LocalityWeights kSmallBodyWeights{ .mRegion = 10, .mZone = 3 };
-constexpr LocalityWeights kLargeBodyWeights{ .mRegion = 10, .mZone = 30 };
 
 HttpClientPoolOptions PoolOptions()
 {
@@ -117,6 +115,20 @@
   }
 }
 
+double GatewayFrontend::RetrySlack() const
+{
+  const double all = mState.mSettings.mBounds.mRetrySlack * kUsedRetryPart;
+  return std::max(1.0, all / double(std::max<size_t>(1, mInstanceCount)));
+}
+
+void GatewayFrontend::SetInstanceCount(size_t aCount)
+{
+  mInstanceCount = aCount;
+  for (auto& [service, budget] : mBudgets) {
+    budget.SetMost(RetrySlack());
+  }
+}
+
 RetryBudget& GatewayFrontend::BudgetOf(const ServiceName& aService)
 {
   const auto it = mBudgets.find(aService);
@@ -124,13 +136,12 @@
     return it->second;
   }
   const auto& bounds = mState.mSettings.mBounds;
-  const double slack =
-    bounds.mRetrySlack * kUsedRetryPart / double(mInstanceCount);
+  // Before the other instances are known, this one may be one of many.
   return mBudgets
     .emplace(aService,
              RetryBudget({ .mRatio = bounds.mRetryRatio * kUsedRetryPart,
-                           .mInitial = std::max(1.0, slack),
-                           .mMost = std::max(1.0, slack) }))
+                           .mInitial = 1,
+                           .mMost = RetrySlack() }))
     .first->second;
 }
 
@@ -217,6 +228,7 @@
                      {} };
   }
   aRequest.mService = mSplitter.Next(*aRequest.mRule);
+  mState.mDemand.OnRequest(aRequest.mService);
   const auto cookie = CookieValue(View(aRequest.mHeader[http::field::cookie]),
                                   mState.mPlatform.Fields().mObjectCookie);
   const std::string_view object = cookie.empty() ? aRequest.mId : cookie;
@@ -241,12 +253,15 @@
     .mRouteHomes = aRequest.mRule->mHomeRegions,
     .mWorkspaceHomes = homes,
     .mTried = aRequest.mTried,
-    .mWeights = isLarge ? kLargeBodyWeights : kSmallBodyWeights,
+    .mIsLarge = isLarge,
   };
-  return mRanking.Pick(
-    mState.mTargets, request, now, [&](const TargetState& aTarget) {
-      return mState.mCold.TryTake(aTarget, coldRate, now);
-    });
+  return mRanking.Pick(mState.mTargets,
+                       mState.mPlan.SharesOf(aRequest.mService),
+                       request,
+                       now,
+                       [&](const TargetState& aTarget) {
+                         return mState.mCold.TryTake(aTarget, coldRate, now);
+                       });
 }
 
 std::shared_ptr<const TextRequest> GatewayFrontend::MakeTargetRequest(
@@ -276,7 +291,8 @@
 
 void GatewayFrontend::NoteAttempt(const TargetAnswer& aAnswer,
                                   TargetState& aTarget,
-                                  Duration aLatency) const
+                                  Duration aLatency,
+                                  double aLoadWhenSent) const
 {
   const TimePoint now = SteadyNow();
   if (!aAnswer.mFailure || *aAnswer.mFailure == AttemptFailure::Shed) {
@@ -287,7 +303,7 @@
     }
   }
   if (!aAnswer.mFailure) {
-    aTarget.OnAnswer(aLatency, now);
+    aTarget.OnAnswer(aLatency, aLoadWhenSent, now);
   } else if (*aAnswer.mFailure == AttemptFailure::Shed) {
     aTarget.OnShed(now);
   } else if (*aAnswer.mFailure != AttemptFailure::Timeout) {
@@ -320,6 +336,7 @@
     TargetExchange exchange(mPool, mState.mPlatform, target);
     request.mExchange = &exchange;
     const TimePoint sentAt = SteadyNow();
+    const double load = target->EstimatedLoad(sentAt);
     auto answer = co_await exchange.Run(MakeTargetRequest(request, *target),
                                         isRepeatable ? kMaxIdleRepeatable
                                                      : kMaxIdleUnrepeatable,
@@ -334,7 +351,7 @@
          !answer.mHeader[mState.mPlatform.Fields().mNotRun].empty())) {
       answer.mFailure = AttemptFailure::Shed;
     }
-    NoteAttempt(answer, *target, SteadyNow() - sentAt);
+    NoteAttempt(answer, *target, SteadyNow() - sentAt, load);
     const bool failedThere =
       !answer.mFailure && answer.mHeader.result_int() >= 500;
     if (!answer.mFailure && !(failedThere && isRepeatable)) {
@@ -461,6 +478,7 @@
           aRequest.mWorkspace ? aRequest.mWorkspace->mName.Text()
                               : std::string() },
         { "service", aRequest.mService.Text() },
+        { "object", aRequest.mObject },
         { "target",
           aRequest.mTried.empty() ? std::string()
                                   : aRequest.mTried.back().Text() },
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -5,9 +5,11 @@
 #include "HttpClientPool.h"
 #include "HttpServer.h"
 #include "MetricsRegistry.h"
+#include "PlacementPlan.h"
 #include "PlatformAdapter.h"
 #include "RetryBudget.h"
 #include "RoutingTable.h"
+#include "ServiceDemand.h"
 #include "TargetRanking.h"
 #include "TargetTable.h"
 #include "WeightedSplitter.h"
@@ -34,6 +36,8 @@
     TargetTable& mTargets;
     WorkspaceQuota& mQuota;
     ColdAdmission& mCold;
+    ServiceDemand& mDemand;
+    const PlacementPlan& mPlan;
   };
 
   GatewayFrontend(asio::any_io_executor aExecutor, State aState);
@@ -42,7 +46,7 @@
   /// Requests that arrive from now on are decided by this table.
   void SetTable(std::shared_ptr<const RoutingTable> aTable);
   /// Number of instances that share the retry budget.
-  void SetInstanceCount(size_t aCount) { mInstanceCount = aCount; }
+  void SetInstanceCount(size_t aCount);
   /// Closes the idle connections to a target that is gone.
   void DropConnections(const RegisteredTarget& aTarget);
 
@@ -67,7 +71,8 @@
     const TargetState& aTarget) const;
   void NoteAttempt(const struct TargetAnswer& aAnswer,
                    TargetState& aTarget,
-                   Duration aLatency) const;
+                   Duration aLatency,
+                   double aLoadWhenSent) const;
   Awaitable<void> Deliver(HttpConnection& aConnection,
                           ForwardedRequest& aRequest,
                           TargetExchange& aExchange,
@@ -79,6 +84,7 @@
   void LogEnd(const ForwardedRequest& aRequest,
               ResultCode aCode,
               std::string_view aDetail);
+  double RetrySlack() const;
   RetryBudget& BudgetOf(const ServiceName& aService);
 
   asio::any_io_executor mExecutor;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -53,8 +53,10 @@
   , mInstances(mSettings.mName)
   , mQuota({}, mSettings.mFirstStart)
   , mCold(mSettings.mName, mSettings.mZone, mSettings.mRegion)
+  , mDemand(SteadyNow())
+  , mPlan(mSettings.mZone, mSettings.mRegionOf)
   , mFrontend(aIo.get_executor(),
-              { mSettings, mPlatform, mTargets, mQuota, mCold })
+              { mSettings, mPlatform, mTargets, mQuota, mCold, mDemand, mPlan })
   , mDirectory(
       aIo.get_executor(),
       { mSettings, mPlatform, mInstances, [this] { return IsReady(); } })
@@ -162,10 +164,26 @@
   mTargets.Expire(now);
   mCold.SetInstances(mInstances, now);
   mQuota.Rebalance(mInstances, now);
+  UpdatePlan(now);
   mFrontend.SetInstanceCount(mInstances.CountKnown() + 1);
   mSummaries.Send();
 }
 
+void GatewayServer::UpdatePlan(TimePoint aNow)
+{
+  mDemand.Update(aNow);
+  std::map<ServiceName, PlacementPlan::ZoneDemand> demand;
+  for (const auto& it : mDemand.Rates()) {
+    demand[it.mService][mSettings.mZone] += it.mRate;
+  }
+  for (const auto* peer : mInstances.Live(aNow)) {
+    for (const auto& it : peer->mSummary.mServiceRates) {
+      demand[it.mService][peer->mSummary.mZone] += it.mRate;
+    }
+  }
+  mPlan.Update(mTargets, demand);
+}
+
 InstanceSummary GatewayServer::MakeSummary()
 {
   InstanceSummary out;
@@ -177,6 +195,7 @@
   out.mReady = IsReady();
   out.mTableVersion = mTable ? mTable->Version() : 0;
   out.mDemands = mQuota.Demands(SteadyNow());
+  out.mServiceRates = mDemand.Rates();
   return out;
 }
 
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -42,6 +42,7 @@
   Awaitable<void> Pause(Duration aTime);
   Awaitable<void> Register();
   void Tick();
+  void UpdatePlan(TimePoint aNow);
   void OnConfiguration(const std::string& aValue, uint64_t aRevision);
   void OnTarget(const std::string& aName,
                 const std::optional<std::string>& aValue);
@@ -65,6 +66,8 @@
   InstanceTable mInstances;
   WorkspaceQuota mQuota;
   ColdAdmission mCold;
+  ServiceDemand mDemand;
+  PlacementPlan mPlan;
   GatewayFrontend mFrontend;
   GatewayDirectory mDirectory;
   SummaryExchange mSummaries;
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -26,6 +26,8 @@
   /// Connects. `PeerUnavailable` if it is refused or takes too long.
   Awaitable<Result<void>> Connect(tcp::endpoint aEndpoint, Duration aTimeout);
 
+  /// No request has been sent on it yet.
+  bool IsNew() const { return mBytesSent == 0; }
   /// Bytes of the current request handed to the socket.
   uint64_t BytesSent() const { return mBytesSent; }
 
--- a/src/InstanceSummary.h
+++ b/src/InstanceSummary.h
@@ -2,6 +2,7 @@
 
 #include "Ids.h"
 #include "IpEndpoint.h"
+#include "ServiceDemand.h"
 
 #include <cstdint>
 #include <string>
@@ -38,6 +39,7 @@
   /// Version of the configuration in force there.
   uint64_t mTableVersion = 0;
   std::vector<WorkspaceDemand> mDemands;
+  std::vector<ServiceRate> mServiceRates;
   /// Addresses of other instances, a few at a time.
   std::vector<IpEndpoint> mKnownPeers;
   /// Fingerprints of requests that lost their target's connection here.
--- a/src/InstanceSummaryCodec.cpp
+++ b/src/InstanceSummaryCodec.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr unsigned kFormatVersion = 1;
-constexpr unsigned kFieldCount = 13;
+constexpr unsigned kFieldCount = 14;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -50,11 +50,16 @@
       demands.ptr[n].as<std::tuple<std::string, float>>();
     out.mDemands.push_back({ WorkspaceName(name), rate });
   }
-  const auto& peers = ReadArray(aFields[11]);
+  const auto& rates = ReadArray(aFields[11]);
+  for (uint32_t n = 0; n < rates.size; ++n) {
+    const auto [name, rate] = rates.ptr[n].as<std::tuple<std::string, float>>();
+    out.mServiceRates.push_back({ ServiceName(name), rate });
+  }
+  const auto& peers = ReadArray(aFields[12]);
   for (uint32_t n = 0; n < peers.size; ++n) {
     out.mKnownPeers.push_back(ReadEndpoint(peers.ptr[n]));
   }
-  out.mCrashSuspects = aFields[12].as<std::vector<uint64_t>>();
+  out.mCrashSuspects = aFields[13].as<std::vector<uint64_t>>();
   return out;
 }
 
@@ -86,6 +91,12 @@
     packer.pack(it.mWorkspace.Text());
     packer.pack(float(it.mRate));
   }
+  packer.pack_array(uint32_t(aSummary.mServiceRates.size()));
+  for (const auto& it : aSummary.mServiceRates) {
+    packer.pack_array(2);
+    packer.pack(it.mService.Text());
+    packer.pack(float(it.mRate));
+  }
   packer.pack_array(uint32_t(aSummary.mKnownPeers.size()));
   for (const auto& it : aSummary.mKnownPeers) {
     PackEndpoint(packer, it);
--- /dev/null
+++ b/src/PlacementPlan.cpp
@@ -0,0 +1,102 @@
+#include "PlacementPlan.h"
+
+#include <algorithm>
+
+namespace pollenway {
+
+namespace {
+
+/// How much more than its even part of the work a zone's or region's targets
+/// may be given by their own callers. A near home saves a round trip between
+/// regions; an overloaded one costs more.
+constexpr double kLocalLoad = 1.3;
+/// Demand that each zone is assumed to have besides the measured, relative to
+/// the mean of all zones. Keeps the plan steady while little is known.
+constexpr double kAssumedDemand = 0.25;
+/// Least weight of a slot in a zone without spare room, so that a place is
+/// found when no zone has any.
+constexpr double kLeastSlotWeight = 0.05;
+
+double LocalShare(double aSlots, double aAllSlots, double aDemandPart)
+{
+  if (aAllSlots <= 0 || aDemandPart <= 0) {
+    return 1;
+  }
+  return std::min(1.0, kLocalLoad * (aSlots / aAllSlots) / aDemandPart);
+}
+
+} // namespace
+
+PlacementPlan::PlacementPlan(ZoneName aZone,
+                             std::map<ZoneName, RegionName> aRegionOf)
+  : mZone(std::move(aZone))
+  , mRegionOf(std::move(aRegionOf))
+{
+}
+
+void PlacementPlan::Update(const TargetTable& aTable,
+                           const std::map<ServiceName, ZoneDemand>& aDemand)
+{
+  static const ZoneDemand kNone;
+  mShares.clear();
+  for (const auto& service : aTable.Services()) {
+    const auto it = aDemand.find(service);
+    mShares.emplace(
+      service,
+      Compute(aTable, service, it == aDemand.end() ? kNone : it->second));
+  }
+}
+
+PlacementShares PlacementPlan::Compute(const TargetTable& aTable,
+                                       const ServiceName& aService,
+                                       const ZoneDemand& aDemand) const
+{
+  std::map<ZoneName, double> slots;
+  double allSlots = 0;
+  for (const auto& it : aTable.OfService(aService)) {
+    if (!aTable.IsEvacuated(it->Record().mZone)) {
+      slots[it->Record().mZone] += it->Record().mSlots;
+      allSlots += it->Record().mSlots;
+    }
+  }
+  double measured = 0;
+  for (const auto& [zone, rate] : aDemand) {
+    measured += rate;
+  }
+  const double zones = double(std::max<size_t>(1, mRegionOf.size()));
+  const double mean = measured > 0 ? measured / zones : 1;
+  const double all = measured + kAssumedDemand * mean * zones;
+  const auto demandPart = [&](const ZoneName& aZone) {
+    const auto it = aDemand.find(aZone);
+    const double rate = it == aDemand.end() ? 0 : it->second;
+    return (rate + kAssumedDemand * mean) / all;
+  };
+  const auto ownRegion = mRegionOf.find(mZone);
+  double regionSlots = 0;
+  double regionDemand = 0;
+  PlacementShares out;
+  for (const auto& [zone, region] : mRegionOf) {
+    if (ownRegion != mRegionOf.end() && region == ownRegion->second) {
+      regionSlots += slots[zone];
+      regionDemand += demandPart(zone);
+    }
+    const double part = allSlots > 0 ? slots[zone] / allSlots : 0;
+    const double spare = part - demandPart(zone);
+    out.mSlotWeights[zone] =
+      part > 0 ? std::max(kLeastSlotWeight, spare / part) : kLeastSlotWeight;
+  }
+  out.mRegion = LocalShare(regionSlots, allSlots, regionDemand);
+  out.mZone = std::min(out.mRegion,
+                       LocalShare(slots[mZone], allSlots, demandPart(mZone)));
+  return out;
+}
+
+const PlacementShares& PlacementPlan::SharesOf(
+  const ServiceName& aService) const
+{
+  static const PlacementShares kDefault;
+  const auto it = mShares.find(aService);
+  return it == mShares.end() ? kDefault : it->second;
+}
+
+} // namespace pollenway
--- a/src/RetryBudget.cpp
+++ b/src/RetryBudget.cpp
@@ -25,6 +25,12 @@
   mBalance = std::min(mBalance + mOptions.mRatio, mOptions.mMost);
 }
 
+void RetryBudget::SetMost(double aMost)
+{
+  mOptions.mMost = aMost;
+  mBalance = std::min(mBalance, aMost);
+}
+
 bool RetryBudget::TryRetry()
 {
   if (mBalance < 1 - kRounding) {
--- a/src/RetryBudget.h
+++ b/src/RetryBudget.h
@@ -27,6 +27,8 @@
   /// A caller's request (not a retry) was received.
   void OnRequest();
 
+  /// Changes how many retries may be saved up.
+  void SetMost(double aMost);
   /// Takes one retry; false if the budget is used up.
   bool TryRetry();
 
--- /dev/null
+++ b/src/ServiceDemand.cpp
@@ -0,0 +1,55 @@
+#include "ServiceDemand.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenway {
+
+namespace {
+
+/// Objects move when the averages change, and a moved object costs a cold run,
+/// so the averages follow only lasting changes.
+constexpr double kAverageSeconds = 15;
+
+} // namespace
+
+ServiceDemand::ServiceDemand(TimePoint aStart)
+  : mStart(aStart)
+  , mUpdatedAt(aStart)
+{
+}
+
+void ServiceDemand::Update(TimePoint aNow)
+{
+  const double seconds = ToSeconds(aNow - mUpdatedAt);
+  if (seconds <= 0) {
+    return;
+  }
+  // Early averages weigh all of the time since the start alike.
+  const double window =
+    std::min(kAverageSeconds, std::max(seconds, ToSeconds(aNow - mStart)));
+  const double weight = std::min(1.0, seconds / window);
+  for (const auto& [service, count] : mArrived) {
+    mRates.try_emplace(service, 0);
+  }
+  for (auto& [service, rate] : mRates) {
+    const auto it = mArrived.find(service);
+    const double now = it == mArrived.end() ? 0 : it->second / seconds;
+    rate += (now - rate) * weight;
+  }
+  mArrived.clear();
+  mUpdatedAt = aNow;
+}
+
+std::vector<ServiceRate> ServiceDemand::Rates() const
+{
+  std::vector<ServiceRate> out;
+  for (const auto& [service, rate] : mRates) {
+    if (rate > 0.01) {
+      out.push_back({ service, rate });
+    }
+  }
+  return out;
+}
+
+} // namespace pollenway
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -56,12 +56,16 @@
   TimePoint aDeadline)
 {
   TargetAnswer answer;
+  const TimePoint startedAt = SteadyNow();
   auto acquired = co_await mPool.Acquire(mEndpoint, aMaxIdle);
   if (!acquired) {
     Fail(answer, AttemptFailure::ConnectFailed, acquired.error().mDetail);
     co_return answer;
   }
   mConnection = std::move(acquired.value());
+  if (mConnection->IsNew()) {
+    mTarget->OnConnected(SteadyNow() - startedAt);
+  }
   if (mCancelled || SteadyNow() >= aDeadline) {
     Fail(answer, AttemptFailure::Timeout, "ended before it was sent");
     co_return answer;
--- a/src/TargetRanking.cpp
+++ b/src/TargetRanking.cpp
@@ -1,21 +1,27 @@
 #include "TargetRanking.h"
 
-#include "HashOf.h"
 #include "MixHash.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace pollenway {
 
 namespace {
 
-/// Share of the slots that may be taken before the next target of the rank is
-/// used. The rest absorbs requests of other instances that are on their way.
-constexpr double kFullShare = 0.95;
-/// A target that turns away more than this share of its requests is used only
-/// if all others are full.
-constexpr double kUnreliableShedShare = 0.25;
+/// A target that does not keep the state of an object needs about this many
+/// times as long for a request.
+constexpr double kColdRunFactor = 3;
+/// Run time assumed of a target that has not answered yet.
+constexpr double kAssumedRunSeconds = 0.1;
+/// Candidates that are compared: the home and those next in the order. More
+/// would spread an object over many targets, which then all run it cold.
+constexpr size_t kComparedCandidates = 4;
+/// Distinguishes the choice of the distance from the choice of the target.
+constexpr uint64_t kDistanceSalt = 0x706c616365;
+/// Large bodies are kept near: share of the objects, relative to the plan's.
+constexpr double kLargeBodyNearness = 2.5;
 
 bool Allows(std::span<const RegionName> aHomes, const RegionName& aRegion)
 {
@@ -31,10 +37,25 @@
 {
 }
 
+int TargetRanking::TierOf(const TargetState& aTarget, int aHomeDistance) const
+{
+  const int distance = aTarget.Record().mZone == mZone ? 0
+                       : aTarget.Region() == mRegion   ? 1
+                                                       : 2;
+  // From the home outwards, then from the nearest.
+  return distance == aHomeDistance ? 0 : distance + 1;
+}
+
 std::vector<TargetRanking::Candidate> TargetRanking::Rank(
   const TargetTable& aTable,
+  const PlacementShares& aShares,
   const Request& aRequest) const
 {
+  const double place = UnitOfHash(MixHash(aRequest.mObject, kDistanceSalt));
+  const double nearness = aRequest.mIsLarge ? kLargeBodyNearness : 1;
+  const int homeDistance = place < aShares.mZone * nearness     ? 0
+                           : place < aShares.mRegion * nearness ? 1
+                                                                : 2;
   std::vector<Candidate> out;
   const auto& targets = aTable.OfService(aRequest.mService);
   out.reserve(targets.size());
@@ -48,48 +69,55 @@
                   record.mName) != aRequest.mTried.end()) {
       continue;
     }
-    double weight = std::max(1U, record.mSlots);
-    weight *= it->Region() == mRegion ? aRequest.mWeights.mRegion : 1;
-    weight *= record.mZone == mZone ? aRequest.mWeights.mZone : 1;
-    const uint64_t hash =
-      MixHash(aRequest.mObject, HashOf({ record.mName.Text() }));
+    const auto slotWeight = aShares.mSlotWeights.find(record.mZone);
+    const double weight =
+      std::max(1U, record.mSlots) *
+      (slotWeight == aShares.mSlotWeights.end() ? 1 : slotWeight->second);
+    const uint64_t hash = MixHash(aRequest.mObject, it->NameHash());
     // Exponential variates: the smallest is drawn in proportion to weight.
-    out.push_back({ -std::log(1 - UnitOfHash(hash)) / weight, it });
+    out.push_back({ TierOf(*it, homeDistance),
+                    -std::log(1 - UnitOfHash(hash)) / weight,
+                    it });
   }
   std::sort(out.begin(), out.end(), [](const auto& aLeft, const auto& aRight) {
-    return aLeft.mRank < aRight.mRank;
+    return aLeft.mTier != aRight.mTier ? aLeft.mTier < aRight.mTier
+                                       : aLeft.mRank < aRight.mRank;
   });
   return out;
 }
 
 std::shared_ptr<TargetState> TargetRanking::Pick(
   const TargetTable& aTable,
+  const PlacementShares& aShares,
   const Request& aRequest,
   TimePoint aNow,
   const ColdCheck& aMayUseCold) const
 {
-  const auto ranked = Rank(aTable, aRequest);
-  const auto isOpen = [&](const TargetState& aTarget) {
-    return !aTarget.IsPaused(aNow) &&
-           (!aTarget.IsCold(aNow) || aMayUseCold(aTarget));
-  };
-  for (const auto& it : ranked) {
-    const double room = it.mTarget->Record().mSlots * kFullShare;
-    if (it.mTarget->EstimatedLoad(aNow) < room &&
-        it.mTarget->ShedShare(aNow) < kUnreliableShedShare &&
-        isOpen(*it.mTarget)) {
-      return it.mTarget;
-    }
-  }
+  const auto ranked = Rank(aTable, aShares, aRequest);
   std::shared_ptr<TargetState> best;
-  double bestLoad = 0;
+  double bestSeconds = std::numeric_limits<double>::max();
+  size_t compared = 0;
   for (const auto& it : ranked) {
-    const double load = (it.mTarget->EstimatedLoad(aNow) + 1) /
-                        std::max(1U, it.mTarget->Record().mSlots) *
-                        (1 + 4 * it.mTarget->ShedShare(aNow));
-    if ((!best || load < bestLoad) && isOpen(*it.mTarget)) {
+    if (it.mTarget->IsPaused(aNow)) {
+      continue;
+    }
+    const auto& target = *it.mTarget;
+    const double run =
+      target.RunTime() ? ToSeconds(*target.RunTime()) : kAssumedRunSeconds;
+    const double rounds = std::max(1.0,
+                                   (target.EstimatedLoad(aNow) + 1) /
+                                     std::max(1U, target.Record().mSlots));
+    const double seconds =
+      (ToSeconds(target.RoundTrip()) +
+       run * (rounds + (compared == 0 ? 0 : kColdRunFactor - 1))) *
+      (1 + 2 * target.ShedShare(aNow));
+    if (seconds < bestSeconds &&
+        (!target.IsCold(aNow) || aMayUseCold(target))) {
       best = it.mTarget;
-      bestLoad = load;
+      bestSeconds = seconds;
+    }
+    if (++compared >= kComparedCandidates && best) {
+      break;
     }
   }
   return best;
--- a/src/TargetRanking.h
+++ b/src/TargetRanking.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Ids.h"
+#include "PlacementPlan.h"
 #include "TargetTable.h"
 
 #include <cstdint>
@@ -11,17 +12,11 @@
 
 namespace pollenway {
 
-/// How strongly near targets are preferred, as factors of a target's weight.
-struct LocalityWeights
-{
-  double mRegion = 10;
-  double mZone = 3;
-};
-
-/// Chooses the target of a request. Each object has a rank of targets by
-/// weighted rendezvous hashing, which is equal on all instances of a zone, so
-/// that its requests meet targets which keep its state. The first target of
-/// the rank with room gets the request.
+/// Chooses the target of a request. Each object has an order of targets by
+/// weighted rendezvous hashing, equal on all instances of a zone, so that its
+/// requests meet a target that keeps its state. The first of the order gets
+/// the request unless another is expected to answer sooner although it would
+/// run the request cold.
 class TargetRanking
 {
 public:
@@ -36,7 +31,8 @@
     std::span<const RegionName> mWorkspaceHomes;
     /// Targets that were tried already.
     std::span<const TargetName> mTried;
-    LocalityWeights mWeights;
+    /// The body is expensive to carry between zones.
+    bool mIsLarge = false;
   };
   /// Asked before a cold target is chosen; false if it may get no request now.
   using ColdCheck = std::function<bool(const TargetState&)>;
@@ -45,6 +41,7 @@
 
   /// Null if no target may get the request.
   std::shared_ptr<TargetState> Pick(const TargetTable& aTable,
+                                    const PlacementShares& aShares,
                                     const Request& aRequest,
                                     TimePoint aNow,
                                     const ColdCheck& aMayUseCold) const;
@@ -52,12 +49,16 @@
 private:
   struct Candidate
   {
+    /// 0 where the object has its home, higher the farther from there.
+    int mTier;
     double mRank;
     std::shared_ptr<TargetState> mTarget;
   };
 
   std::vector<Candidate> Rank(const TargetTable& aTable,
+                              const PlacementShares& aShares,
                               const Request& aRequest) const;
+  int TierOf(const TargetState& aTarget, int aHomeDistance) const;
 
   ZoneName mZone;
   RegionName mRegion;
--- a/src/TargetState.cpp
+++ b/src/TargetState.cpp
@@ -1,5 +1,7 @@
 #include "TargetState.h"
 
+#include "HashOf.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -25,6 +27,7 @@
 TargetState::TargetState(RegisteredTarget aRecord, RegionName aRegion)
   : mRecord(std::move(aRecord))
   , mRegion(std::move(aRegion))
+  , mNameHash(HashOf({ mRecord.mName.Text() }))
 {
 }
 
@@ -49,15 +52,23 @@
   mInFlightAtLoad = mInFlight;
 }
 
-void TargetState::OnAnswer(Duration aLatency, TimePoint aNow)
+void TargetState::OnAnswer(Duration aLatency,
+                           double aLoadWhenSent,
+                           TimePoint aNow)
 {
   mFailures = 0;
   mPausedUntil = {};
   mShedShare = ShedShare(aNow) * (1 - kSampleWeight);
   mShedAt = aNow;
-  mLatency = mLatency ? FromSeconds(ToSeconds(*mLatency) * (1 - kSampleWeight) +
-                                    ToSeconds(aLatency) * kSampleWeight)
-                      : aLatency;
+  // A request that finds all slots taken waits for about one run for each
+  // time that the slots are filled by those before it.
+  const double rounds =
+    std::max(1.0, aLoadWhenSent / std::max(1U, mRecord.mSlots));
+  const double sample =
+    std::max(0.0, ToSeconds(aLatency - mRoundTrip)) / rounds;
+  mRunTime = mRunTime ? FromSeconds(ToSeconds(*mRunTime) * (1 - kSampleWeight) +
+                                    sample * kSampleWeight)
+                      : FromSeconds(sample);
 }
 
 void TargetState::OnShed(TimePoint aNow)
--- a/src/TargetState.h
+++ b/src/TargetState.h
@@ -24,8 +24,11 @@
   void OnEnded() { --mInFlight; }
   unsigned InFlight() const { return mInFlight; }
   void OnLoad(const TargetLoad& aLoad, TimePoint aNow);
-  /// An answer to a request arrived `aLatency` after it was sent.
-  void OnAnswer(Duration aLatency, TimePoint aNow);
+  /// An answer arrived `aLatency` after its request was sent, when the target
+  /// held `aLoadWhenSent` requests.
+  void OnAnswer(Duration aLatency, double aLoadWhenSent, TimePoint aNow);
+  /// A connection to it was made in this time.
+  void OnConnected(Duration aRoundTrip) { mRoundTrip = aRoundTrip; }
   /// It turned a request away without running it.
   void OnShed(TimePoint aNow);
   /// A connection to it failed, or was lost before the answer.
@@ -41,8 +44,12 @@
   unsigned ConsecutiveFailures() const { return mFailures; }
   /// Share of recent requests that it turned away.
   double ShedShare(TimePoint aNow) const;
-  /// Smoothed latency of its answers; empty before the first one.
-  std::optional<Duration> Latency() const { return mLatency; }
+  /// Smoothed time from a slot's start on a request to its answer, without
+  /// waiting for a slot; empty before the first answer.
+  std::optional<Duration> RunTime() const { return mRunTime; }
+  Duration RoundTrip() const { return mRoundTrip; }
+  /// Hash of the name, for ranking.
+  uint64_t NameHash() const { return mNameHash; }
 
 private:
   RegisteredTarget mRecord;
@@ -52,7 +59,9 @@
   std::optional<TargetLoad> mLoad;
   TimePoint mLoadAt{};
   unsigned mInFlightAtLoad = 0;
-  std::optional<Duration> mLatency;
+  uint64_t mNameHash;
+  std::optional<Duration> mRunTime;
+  Duration mRoundTrip{};
   double mShedShare = 0;
   TimePoint mShedAt{};
   TimePoint mPausedUntil{};
--- a/src/TargetTable.cpp
+++ b/src/TargetTable.cpp
@@ -89,6 +89,15 @@
   return it == mByService.end() ? kNone : it->second;
 }
 
+std::vector<ServiceName> TargetTable::Services() const
+{
+  std::vector<ServiceName> out;
+  for (const auto& [service, targets] : mByService) {
+    out.push_back(service);
+  }
+  return out;
+}
+
 void TargetTable::Erase(const TargetName& aName)
 {
   mKeptUntil.erase(aName);
--- a/src/TargetTable.h
+++ b/src/TargetTable.h
@@ -35,6 +35,8 @@
   void Expire(TimePoint aNow);
 
   const Targets& OfService(const ServiceName& aService) const;
+  /// The services that have or had targets.
+  std::vector<ServiceName> Services() const;
   size_t Size() const { return mByName.size(); }
   bool Contains(const TargetName& aName) const
   {
