Keep one view of each workspace's bucket at every instance

Ruled out: demand shares alone (the refusals remained with them). Change: WorkspaceQuota admits from a shared view built from reported admissions, and by shares of the rate once the view is empty. A surge is reported at once.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -5,6 +5,7 @@
 #include "Spawn.h"
 #include "SteadyTime.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -19,6 +20,8 @@
 /// Interval of summaries to the other instances. Three lost ones in a row stay
 /// within the time after which an instance counts as silent.
 constexpr Duration kTickInterval = 500ms;
+/// Least time between two summaries when one is sent early.
+constexpr Duration kShortestTickInterval = 120ms;
 /// Time before the forced end in which the last connections are closed.
 constexpr Duration kStopReserve = 1200ms;
 constexpr Duration kStopPoll = 50ms;
@@ -97,6 +100,7 @@
       { [this](const StoreListing& aListing) { OnEvacuationListing(aListing); },
         [this](const StoreChange& aChange) { OnEvacuation(aChange); } })
 {
+  mQuota.OnSurge([this] { TickSoon(); });
   mTargets.OnRemoved([this](const RegisteredTarget& aTarget) {
     mFrontend.DropConnections(aTarget);
     mCold.Forget(aTarget.mName);
@@ -157,13 +161,24 @@
   }
 }
 
+void GatewayServer::TickSoon()
+{
+  if (mTickIsDue || SteadyNow() - mTickedAt < kShortestTickInterval) {
+    return;
+  }
+  mTickIsDue = true;
+  asio::post(mIo, [this] { Tick(); });
+}
+
 void GatewayServer::Tick()
 {
   const TimePoint now = SteadyNow();
+  mTickedAt = now;
+  mTickIsDue = false;
   mInstances.Expire(now);
   mTargets.Expire(now);
   mCold.SetInstances(mInstances, now);
-  mQuota.Rebalance(mInstances, now);
+  mWorkspaceUses = mQuota.BeginInterval(mInstances, now);
   UpdatePlan(now);
   mFrontend.SetInstanceCount(mInstances.CountKnown() + 1);
   mSummaries.Send();
@@ -194,7 +209,7 @@
   out.mCaller = mSettings.mCallerEndpoint;
   out.mReady = IsReady();
   out.mTableVersion = mTable ? mTable->Version() : 0;
-  out.mDemands = mQuota.Demands(SteadyNow());
+  out.mWorkspaceUses = mWorkspaceUses;
   out.mServiceRates = mDemand.Rates();
   return out;
 }
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -42,6 +42,8 @@
   Awaitable<void> Pause(Duration aTime);
   Awaitable<void> Register();
   void Tick();
+  /// Sends the next summary at once, unless the last one was just sent.
+  void TickSoon();
   void UpdatePlan(TimePoint aNow);
   void OnConfiguration(const std::string& aValue, uint64_t aRevision);
   void OnTarget(const std::string& aName,
@@ -65,6 +67,8 @@
   TargetTable mTargets;
   InstanceTable mInstances;
   WorkspaceQuota mQuota;
+  /// For the next summary.
+  std::vector<WorkspaceUse> mWorkspaceUses;
   ColdAdmission mCold;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
@@ -74,6 +78,8 @@
   StateFeed mConfigurationFeed;
   StateFeed mTargetFeed;
   StateFeed mEvacuationFeed;
+  TimePoint mTickedAt{};
+  bool mTickIsDue = false;
   bool mStopping = false;
 };
 
--- a/src/InstanceSummary.h
+++ b/src/InstanceSummary.h
@@ -3,6 +3,7 @@
 #include "Ids.h"
 #include "IpEndpoint.h"
 #include "ServiceDemand.h"
+#include "WorkspaceUse.h"
 
 #include <cstdint>
 #include <string>
@@ -10,16 +11,6 @@
 
 namespace pollenway {
 
-/// Demand for one workspace at one instance.
-struct WorkspaceDemand
-{
-  WorkspaceName mWorkspace;
-  /// Requests per second that callers sent, admitted or not.
-  double mRate = 0;
-
-  bool operator==(const WorkspaceDemand&) const = default;
-};
-
 /// What an instance tells the others about itself several times a second.
 struct InstanceSummary
 {
@@ -38,7 +29,7 @@
   bool mReady = false;
   /// Version of the configuration in force there.
   uint64_t mTableVersion = 0;
-  std::vector<WorkspaceDemand> mDemands;
+  std::vector<WorkspaceUse> mWorkspaceUses;
   std::vector<ServiceRate> mServiceRates;
   /// Addresses of other instances, a few at a time.
   std::vector<IpEndpoint> mKnownPeers;
--- a/src/InstanceSummaryCodec.cpp
+++ b/src/InstanceSummaryCodec.cpp
@@ -44,11 +44,11 @@
   out.mCaller = ReadEndpoint(aFields[7]);
   out.mReady = aFields[8].as<bool>();
   out.mTableVersion = aFields[9].as<uint64_t>();
-  const auto& demands = ReadArray(aFields[10]);
-  for (uint32_t n = 0; n < demands.size; ++n) {
-    const auto [name, rate] =
-      demands.ptr[n].as<std::tuple<std::string, float>>();
-    out.mDemands.push_back({ WorkspaceName(name), rate });
+  const auto& uses = ReadArray(aFields[10]);
+  for (uint32_t n = 0; n < uses.size; ++n) {
+    const auto [name, demand, admitted] =
+      uses.ptr[n].as<std::tuple<std::string, float, int64_t>>();
+    out.mWorkspaceUses.push_back({ WorkspaceName(name), demand, admitted });
   }
   const auto& rates = ReadArray(aFields[11]);
   for (uint32_t n = 0; n < rates.size; ++n) {
@@ -85,11 +85,12 @@
   PackEndpoint(packer, aSummary.mCaller);
   packer.pack(aSummary.mReady);
   packer.pack(aSummary.mTableVersion);
-  packer.pack_array(uint32_t(aSummary.mDemands.size()));
-  for (const auto& it : aSummary.mDemands) {
-    packer.pack_array(2);
+  packer.pack_array(uint32_t(aSummary.mWorkspaceUses.size()));
+  for (const auto& it : aSummary.mWorkspaceUses) {
+    packer.pack_array(3);
     packer.pack(it.mWorkspace.Text());
-    packer.pack(float(it.mRate));
+    packer.pack(float(it.mDemand));
+    packer.pack(it.mAdmitted);
   }
   packer.pack_array(uint32_t(aSummary.mServiceRates.size()));
   for (const auto& it : aSummary.mServiceRates) {
--- a/src/WorkspaceQuota.cpp
+++ b/src/WorkspaceQuota.cpp
@@ -7,10 +7,32 @@
 
 namespace {
 
-/// Demand is measured over at least this time.
-constexpr double kShortestDemandSeconds = 0.2;
 /// Retry hint for a workspace without a usable share.
 constexpr Duration kLongestRetryHint = std::chrono::seconds(2);
+/// Admissions from the view that an instance may make between two reports
+/// however small its part is: small workspaces have few requests at many
+/// instances, and one bucket for each would refuse them by chance.
+constexpr double kLeastAllowance = 2;
+/// All instances together may admit this many times the view between two
+/// reports. More than once, since the requests of an interval don't arrive in
+/// proportion to the demand.
+constexpr double kAllowanceOfView = 1.2;
+/// Tokens of the share are saved up for this time only: the burst is in the
+/// view.
+constexpr double kShareDepthSeconds = 0.25;
+/// Arrivals from which on a multiple of the expected ones is a surge and not
+/// chance, and that multiple.
+constexpr unsigned kSurgeArrivals = 8;
+constexpr double kSurgeFactor = 2.5;
+constexpr double kHighestSurge = 20;
+constexpr double kShortestSurgeSeconds = 0.1;
+/// Part of the rate that is given out while the view is negative. The rest
+/// makes up for what was admitted too much.
+constexpr double kRateInDebt = 0.9;
+/// Debt beyond this many seconds of the rate is dropped.
+constexpr double kMostDebtSeconds = 3;
+/// Reports after the last change of a workspace, in case some are lost.
+constexpr unsigned kRepeatedReports = 3;
 
 } // namespace
 
@@ -20,9 +42,12 @@
     return;
   }
   const double seconds = ToSeconds(aNow - mRefilledAt);
+  mLevel = std::min(mBurst, mLevel + mRate * seconds);
+  mLevel = std::max(mLevel, -mRate * kMostDebtSeconds);
   // One token of depth lets an instance with a small share admit at all.
-  const double depth = std::max(1.0, mBurst * mShare);
-  mTokens = std::min(depth, mTokens + mRate * mShare * seconds);
+  const double rate = mRate * mShare * (mLevel < 0 ? kRateInDebt : 1);
+  const double depth = std::max(1.0, rate * kShareDepthSeconds);
+  mShareTokens = std::min(depth, mShareTokens + rate * seconds);
   mRefilledAt = aNow;
 }
 
@@ -42,78 +67,135 @@
       continue;
     }
     const auto known = mAccounts.find(it.mName);
-    Account account = known == mAccounts.end() ? Account() : known->second;
-    if (known == mAccounts.end()) {
+    const bool isNew = known == mAccounts.end();
+    Account account = isNew ? Account() : known->second;
+    if (isNew) {
       account.mShare = 1.0 / double(mKnownInstances);
       account.mRefilledAt = aNow;
-      account.mDemandAt = aNow;
+      account.mLevel = mStartFull ? it.mBurst : 0;
     }
     account.Refill(aNow);
     account.mRate = it.mRate;
     account.mBurst = it.mBurst;
-    const double depth = account.mBurst * account.mShare;
-    if (known == mAccounts.end() && mStartFull) {
-      account.mTokens = depth;
-    }
-    account.mTokens = std::min(account.mTokens, std::max(1.0, depth));
+    account.mLevel = std::min(account.mLevel, account.mBurst);
+    account.mShareTokens = std::min(
+      account.mShareTokens, std::max(1.0, account.mBurst * account.mShare));
     accounts.emplace(it.mName, account);
   }
   mAccounts = std::move(accounts);
 }
 
-void WorkspaceQuota::Rebalance(const InstanceTable& aInstances, TimePoint aNow)
+void WorkspaceQuota::OnReport(const InstanceName& aInstance,
+                              uint64_t aRun,
+                              const std::vector<WorkspaceUse>& aUses,
+                              TimePoint aNow)
 {
-  const auto live = aInstances.Live(aNow);
-  const size_t known = aInstances.CountKnown() + 1;
-  mKnownInstances = known;
-  const bool isCutOff = live.size() + 1 < (known + 1) / 2;
-  for (auto& [name, account] : mAccounts) {
-    UpdateDemand(account, aNow);
-    const double even = 1.0 / double(known);
-    if (isCutOff) {
-      SetShare(account, mOptions.mEvenPart * even, aNow);
-      continue;
+  auto& reporter = mReporters[aInstance];
+  const bool isFirst = reporter.mRun == 0;
+  if (reporter.mRun != aRun) {
+    reporter.mRun = aRun;
+    reporter.mUses.clear();
+  }
+  for (const auto& it : aUses) {
+    auto [known, isNew] = reporter.mUses.try_emplace(it.mWorkspace, it);
+    const int64_t before = isNew ? 0 : known->second.mAdmitted;
+    known->second = it;
+    const auto account = mAccounts.find(it.mWorkspace);
+    // What an instance admitted before this one heard of it is long past.
+    if (account != mAccounts.end() && !(isFirst && isNew)) {
+      account->second.Refill(aNow);
+      account->second.mLevel -= double(it.mAdmitted - before);
     }
-    double others = 0;
-    for (const auto* it : live) {
-      for (const auto& demand : it->mSummary.mDemands) {
-        others += demand.mWorkspace == name ? demand.mRate : 0;
-      }
+  }
+}
+
+void WorkspaceQuota::MeasureDemand(Account& aAccount, double aSeconds) const
+{
+  if (aSeconds <= 0) {
+    return;
+  }
+  const double expected = std::max(1.0, aAccount.mDemand * aSeconds);
+  const bool isSurge = aAccount.mArrived >= kSurgeArrivals &&
+                       aAccount.mArrived > kSurgeFactor * expected;
+  aAccount.mSurge =
+    isSurge ? std::min(kHighestSurge, aAccount.mArrived / expected) : 1;
+  const double kept = std::exp(-aSeconds / ToSeconds(mOptions.mDemandWindow));
+  aAccount.mDemand =
+    aAccount.mDemand * kept + aAccount.mArrived / aSeconds * (1 - kept);
+}
+
+double WorkspaceQuota::DemandOfOthers(const WorkspaceName& aWorkspace,
+                                      const InstanceTable& aInstances,
+                                      TimePoint aNow) const
+{
+  double out = 0;
+  for (const auto* peer : aInstances.Live(aNow)) {
+    const auto reporter = mReporters.find(peer->mSummary.mName);
+    if (reporter == mReporters.end()) {
+      continue;
     }
-    const double sum = account.mDemand + others;
-    const double byDemand =
-      sum > 0 ? account.mDemand / sum : 1.0 / double(live.size() + 1);
-    // The even part counts silent instances too: they may only be cut off.
-    SetShare(account,
-             mOptions.mEvenPart * even + (1 - mOptions.mEvenPart) * byDemand,
-             aNow);
+    const auto use = reporter->second.mUses.find(aWorkspace);
+    out += use == reporter->second.mUses.end() ? 0 : use->second.mDemand;
   }
+  return out;
 }
 
-void WorkspaceQuota::SetShare(Account& aAccount,
-                              double aShare,
-                              TimePoint aNow) const
+void WorkspaceQuota::Divide(Account& aAccount,
+                            size_t aKnown,
+                            bool aIsCutOff) const
 {
-  aAccount.Refill(aNow);
-  const double share = aShare * mOptions.mUsedPart;
-  // Tokens move with the share, or a move would create or destroy burst.
+  const double even = 1.0 / double(aKnown);
+  double share = mOptions.mEvenPart * even;
+  if (!aIsCutOff) {
+    const double sum = aAccount.mDemand + aAccount.mDemandOfOthers;
+    share +=
+      (1 - mOptions.mEvenPart) * (sum > 0 ? aAccount.mDemand / sum : even);
+  }
+  // Tokens move with the share, or a move would create burst.
   if (share < aAccount.mShare && aAccount.mShare > 0) {
-    aAccount.mTokens *= share / aAccount.mShare;
+    aAccount.mShareTokens *= share / aAccount.mShare;
   }
   aAccount.mShare = share;
+  if (aIsCutOff) {
+    aAccount.mAllowance = 0;
+    return;
+  }
+  const double unreported = std::min(aAccount.mDemandOfOthers, aAccount.mRate) *
+                            ToSeconds(mOptions.mReportAge);
+  const double view = aAccount.mLevel - unreported;
+  aAccount.mAllowance =
+    view <= 0 ? 0 : std::max(kLeastAllowance, kAllowanceOfView * view * share);
 }
 
-void WorkspaceQuota::UpdateDemand(Account& aAccount, TimePoint aNow) const
+std::vector<WorkspaceUse> WorkspaceQuota::BeginInterval(
+  const InstanceTable& aInstances,
+  TimePoint aNow)
 {
-  const double seconds = ToSeconds(aNow - aAccount.mDemandAt);
-  if (seconds < kShortestDemandSeconds) {
-    return;
+  const size_t live = aInstances.Live(aNow).size();
+  const size_t known = aInstances.CountKnown() + 1;
+  mKnownInstances = known;
+  const bool isCutOff = live + 1 < (known + 1) / 2;
+  const double seconds =
+    mIntervalBegan == TimePoint{} ? 0 : ToSeconds(aNow - mIntervalBegan);
+  mIntervalBegan = aNow;
+  std::erase_if(mReporters, [&](const auto& aEntry) {
+    return !aInstances.All().contains(aEntry.first);
+  });
+  std::vector<WorkspaceUse> out;
+  for (auto& [name, account] : mAccounts) {
+    account.Refill(aNow);
+    MeasureDemand(account, seconds);
+    account.mDemandOfOthers = DemandOfOthers(name, aInstances, aNow);
+    Divide(account, known, isCutOff);
+    account.mQuietReports =
+      account.mArrived > 0 ? 0 : account.mQuietReports + 1;
+    account.mArrived = 0;
+    if (account.mQuietReports <= kRepeatedReports ||
+        account.mDemand > 0.01 * account.mRate) {
+      out.push_back({ name, account.mDemand, account.mAdmitted });
+    }
   }
-  const double kept = std::exp(-seconds / ToSeconds(mOptions.mDemandWindow));
-  aAccount.mDemand =
-    aAccount.mDemand * kept + aAccount.mArrived / seconds * (1 - kept);
-  aAccount.mArrived = 0;
-  aAccount.mDemandAt = aNow;
+  return out;
 }
 
 bool WorkspaceQuota::Admit(const WorkspaceName& aWorkspace, TimePoint aNow)
@@ -125,10 +207,23 @@
   auto& account = it->second;
   ++account.mArrived;
   account.Refill(aNow);
-  if (account.mTokens < 1) {
+  const double expected =
+    account.mDemand *
+    std::max(ToSeconds(aNow - mIntervalBegan), kShortestSurgeSeconds);
+  if (account.mArrived >= kSurgeArrivals && mOnSurge &&
+      account.mArrived > kSurgeFactor * (expected + 1) &&
+      account.mDemand < account.mRate) {
+    mOnSurge();
+  }
+  if (account.mAllowance >= 1 && account.mLevel >= 1) {
+    account.mAllowance -= 1;
+  } else if (account.mShareTokens >= 1) {
+    account.mShareTokens -= 1;
+  } else {
     return false;
   }
-  account.mTokens -= 1;
+  account.mLevel -= 1;
+  ++account.mAdmitted;
   return true;
 }
 
@@ -136,7 +231,8 @@
 {
   const auto it = mAccounts.find(aWorkspace);
   if (it != mAccounts.end()) {
-    it->second.mTokens += 1;
+    it->second.mLevel += 1;
+    it->second.mAdmitted -= 1;
   }
 }
 
@@ -153,20 +249,7 @@
     return kLongestRetryHint;
   }
   return std::min(kLongestRetryHint,
-                  FromSeconds(std::max(0.0, 1 - account.mTokens) / rate));
-}
-
-std::vector<WorkspaceDemand> WorkspaceQuota::Demands(TimePoint aNow)
-{
-  std::vector<WorkspaceDemand> out;
-  for (auto& [name, account] : mAccounts) {
-    UpdateDemand(account, aNow);
-    // Below this an instance's even part is enough.
-    if (account.mDemand > 0.05) {
-      out.push_back({ name, account.mDemand });
-    }
-  }
-  return out;
+                  FromSeconds(std::max(0.0, 1 - account.mShareTokens) / rate));
 }
 
 } // namespace pollenway
--- a/src/WorkspaceQuota.h
+++ b/src/WorkspaceQuota.h
@@ -4,30 +4,36 @@
 #include "InstanceTable.h"
 #include "Time.h"
 #include "WorkspaceGrant.h"
+#include "WorkspaceUse.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
 namespace pollenway {
 
 /// Enforces the rates of workspaces over all instances without asking any of
-/// them for a request: each instance has a share of each rate and burst. A
-/// part of the rate is divided evenly over all known instances; the rest
-/// follows the demand that instances report. An instance that is cut off from
-/// most others uses its even part only, and those that don't hear from it
-/// leave that part to it.
+/// them for a request.
+///
+/// Each instance keeps its own view of one bucket for each workspace, from its
+/// own admissions and those that the others report. While the view shows
+/// tokens, requests are admitted from it, a bounded number between two
+/// reports. Once it is empty, each instance admits its share of the rate,
+/// which follows the demand that the instances report. What was admitted too
+/// much meanwhile leaves the view negative and is made up for.
+///
+/// An instance that is cut off from most others uses a small even share only.
 class WorkspaceQuota
 {
 public:
   struct Options
   {
-    /// Part of a rate that is divided evenly.
+    /// Part of a rate that is divided evenly; the rest follows the demand.
     double mEvenPart = 0.25;
-    /// Part of the rate and burst that is given out. Views of the demand
-    /// differ between instances for about a second.
-    double mUsedPart = 1.0;
     /// Demand is averaged over about this time.
     Duration mDemandWindow = std::chrono::milliseconds(1500);
+    /// Mean age of the other instances' reports.
+    Duration mReportAge = std::chrono::milliseconds(350);
   };
 
   WorkspaceQuota(Options aOptions, bool aFirstStart);
@@ -35,39 +41,71 @@
   /// Takes the workspaces of a new routing table. A lower rate counts at once.
   void SetWorkspaces(const std::vector<WorkspaceGrant>& aWorkspaces,
                      TimePoint aNow);
-  /// Divides the rates anew by the summaries of other instances.
-  void Rebalance(const InstanceTable& aInstances, TimePoint aNow);
+  /// Another instance has reported. Reports of one run must come in order.
+  void OnReport(const InstanceName& aInstance,
+                uint64_t aRun,
+                const std::vector<WorkspaceUse>& aUses,
+                TimePoint aNow);
+  /// Begins the time until the next report: divides the rates anew and returns
+  /// what is to be reported.
+  std::vector<WorkspaceUse> BeginInterval(const InstanceTable& aInstances,
+                                          TimePoint aNow);
+  /// Called when many more requests come than the last reports let expect, so
+  /// that the others can be told at once.
+  void OnSurge(std::function<void()> aCallback)
+  {
+    mOnSurge = std::move(aCallback);
+  }
   /// A request of the workspace came; true if it may run.
   bool Admit(const WorkspaceName& aWorkspace, TimePoint aNow);
   /// A request that was admitted has not run after all.
   void Return(const WorkspaceName& aWorkspace);
   /// Time until the next request of the workspace is likely to be admitted.
   Duration TimeUntilAdmitted(const WorkspaceName& aWorkspace) const;
-  /// Demand at this instance for its summary.
-  std::vector<WorkspaceDemand> Demands(TimePoint aNow);
 
 private:
   struct Account
   {
     double mRate = 0;
     double mBurst = 0;
+    /// View of the bucket that all instances share; may be negative.
+    double mLevel = 0;
+    /// This instance's part of the rate, in tokens, for when it is empty.
     double mShare = 0;
-    double mTokens = 0;
+    double mShareTokens = 0;
     TimePoint mRefilledAt{};
+    /// Admissions from the view until the next report.
+    double mAllowance = 0;
     double mDemand = 0;
+    /// Arrivals of the last interval as a multiple of the expected ones; 1
+    /// unless they were many more.
+    double mSurge = 1;
+    double mDemandOfOthers = 0;
     unsigned mArrived = 0;
-    TimePoint mDemandAt{};
+    int64_t mAdmitted = 0;
+    unsigned mQuietReports = 0;
 
     void Refill(TimePoint aNow);
   };
+  struct Reporter
+  {
+    uint64_t mRun = 0;
+    std::map<WorkspaceName, WorkspaceUse> mUses;
+  };
 
-  void UpdateDemand(Account& aAccount, TimePoint aNow) const;
-  void SetShare(Account& aAccount, double aShare, TimePoint aNow) const;
+  void MeasureDemand(Account& aAccount, double aSeconds) const;
+  void Divide(Account& aAccount, size_t aKnown, bool aIsCutOff) const;
+  double DemandOfOthers(const WorkspaceName& aWorkspace,
+                        const InstanceTable& aInstances,
+                        TimePoint aNow) const;
 
   Options mOptions;
   bool mStartFull;
   size_t mKnownInstances = 1;
+  TimePoint mIntervalBegan{};
   std::map<WorkspaceName, Account> mAccounts;
+  std::map<InstanceName, Reporter> mReporters;
+  std::function<void()> mOnSurge;
 };
 
 } // namespace pollenway
