Pass the other instances' reports to the workspace quota

Cause: the callback for summaries was still empty, so each instance saw only its own admissions: a hot tenant got 3,565 of 2,766 requests in 5 s. Change: the callback hands each summary to WorkspaceQuota.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -63,11 +63,16 @@
   , mDirectory(
       aIo.get_executor(),
       { mSettings, mPlatform, mInstances, [this] { return IsReady(); } })
-  , mSummaries(
-      aIo.get_executor(),
-      mInstances,
-      { mSettings.mAddress, mSettings.mPeerPort },
-      { [this] { return MakeSummary(); }, [](const InstanceSummary&) {} })
+  , mSummaries(aIo.get_executor(),
+               mInstances,
+               { mSettings.mAddress, mSettings.mPeerPort },
+               { [this] { return MakeSummary(); },
+                 [this](const InstanceSummary& aSummary) {
+                   mQuota.OnReport(aSummary.mName,
+                                   aSummary.mRun,
+                                   aSummary.mWorkspaceUses,
+                                   SteadyNow());
+                 } })
   , mConfigurationFeed(
       aIo.get_executor(),
       mStore,
