--- a/src/GatewayDirectory.h
+++ b/src/GatewayDirectory.h
@@ -28,6 +28,8 @@
 
   Result<void> Listen();
   void Stop();
+  uint16_t LookupPort() const { return mLookupServer.Port(); }
+  uint16_t ReadyPort() const { return mReadyServer.Port(); }
 
   /// The instances for callers of a zone: those of the zone, or else those of
   /// its region, or else all. Only instances that were heard of lately.
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -4,6 +4,7 @@
 #include "HashOf.h"
 #include "HttpHeaders.h"
 #include "Logger.h"
+#include "RequestObserver.h"
 #include "SteadyTime.h"
 #include "TargetExchange.h"
 
@@ -31,6 +32,9 @@
 /// Part of the shared retry budget that is used. Instances count their parts
 /// by themselves, and the number of instances is seen late.
 constexpr double kUsedRetryPart = 0.6;
+/// Log lines on requests in a second; one instance serves about a hundred
+/// requests a second on the busiest days.
+constexpr unsigned kMostLinesPerSecond = 400;
 /// Bodies from this size on are expensive to carry between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
@@ -86,6 +90,7 @@
             HttpLimits(),
             [this](HttpConnection& aConnection) { return Handle(aConnection); })
   , mPool(aExecutor, PoolOptions())
+  , mLineLimit(kMostLinesPerSecond)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
 {
 }
@@ -106,6 +111,14 @@
                       .mIdleTimeout = limits.mHeaderTimeout });
 }
 
+void GatewayFrontend::LogSuppressed()
+{
+  const uint64_t n = mLineLimit.TakeSuppressed();
+  if (n > 0) {
+    Log(LogLevel::Warn, "request_lines_left_out", { { "count", n } });
+  }
+}
+
 void GatewayFrontend::DropConnections(const RegisteredTarget& aTarget)
 {
   ErrorCode ec;
@@ -289,12 +302,28 @@
   return out;
 }
 
-void GatewayFrontend::NoteAttempt(const TargetAnswer& aAnswer,
+void GatewayFrontend::NoteAttempt(const ForwardedRequest& aRequest,
+                                  const TargetAnswer& aAnswer,
                                   TargetState& aTarget,
                                   Duration aLatency,
-                                  double aLoadWhenSent) const
+                                  double aLoadWhenSent)
 {
   const TimePoint now = SteadyNow();
+  const std::string result(aAnswer.mFailure ? Name(*aAnswer.mFailure)
+                                            : "answered");
+  ++mAttempts[result];
+  if (aAnswer.mFailure && mLineLimit.Allow(now)) {
+    Log(LogLevel::Info,
+        "attempt_failed",
+        { { "id", aRequest.mId },
+          { "target", aTarget.Record().mName.Text() },
+          { "result", result },
+          { "sent", aAnswer.mBytesSent },
+          { "load", aLoadWhenSent },
+          { "failures", aTarget.ConsecutiveFailures() },
+          { "ms", int64_t(ToSeconds(aLatency) * 1000) },
+          { "detail", aAnswer.mDetail } });
+  }
   if (!aAnswer.mFailure || *aAnswer.mFailure == AttemptFailure::Shed) {
     const auto load = mState.mPlatform.ReadLoad(
       View(aAnswer.mHeader[mState.mPlatform.Fields().mLoad]));
@@ -351,7 +380,7 @@
          !answer.mHeader[mState.mPlatform.Fields().mNotRun].empty())) {
       answer.mFailure = AttemptFailure::Shed;
     }
-    NoteAttempt(answer, *target, SteadyNow() - sentAt, load);
+    NoteAttempt(request, answer, *target, SteadyNow() - sentAt, load);
     const bool failedThere =
       !answer.mFailure && answer.mHeader.result_int() >= 500;
     if (!answer.mFailure && !(failedThere && isRepeatable)) {
@@ -470,6 +499,9 @@
   const TimePoint now = SteadyNow();
   const Duration latency = now - aRequest.mReceivedAt;
   mMetrics.OnRequest(aRequest.mService, aCode, latency);
+  if (!mLineLimit.Allow(now)) {
+    return;
+  }
   Log(LogLevel::Info,
       "request",
       { { "id", aRequest.mId },
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -4,6 +4,7 @@
 #include "GatewaySettings.h"
 #include "HttpClientPool.h"
 #include "HttpServer.h"
+#include "LineLimit.h"
 #include "MetricsRegistry.h"
 #include "PlacementPlan.h"
 #include "PlatformAdapter.h"
@@ -47,11 +48,16 @@
   void SetTable(std::shared_ptr<const RoutingTable> aTable);
   /// Number of instances that share the retry budget.
   void SetInstanceCount(size_t aCount);
+  /// Logs how many lines on requests were left out.
+  void LogSuppressed();
   /// Closes the idle connections to a target that is gone.
   void DropConnections(const RegisteredTarget& aTarget);
 
   HttpServer& Server() { return mServer; }
+  const HttpServer& Server() const { return mServer; }
   const MetricsRegistry& Metrics() const { return mMetrics; }
+  /// Attempts at targets by result.
+  const std::map<std::string, uint64_t>& Attempts() const { return mAttempts; }
 
 private:
   Awaitable<void> Handle(HttpConnection& aConnection);
@@ -69,10 +75,11 @@
   std::shared_ptr<const TextRequest> MakeTargetRequest(
     const ForwardedRequest& aRequest,
     const TargetState& aTarget) const;
-  void NoteAttempt(const struct TargetAnswer& aAnswer,
+  void NoteAttempt(const ForwardedRequest& aRequest,
+                   const struct TargetAnswer& aAnswer,
                    TargetState& aTarget,
                    Duration aLatency,
-                   double aLoadWhenSent) const;
+                   double aLoadWhenSent);
   Awaitable<void> Deliver(HttpConnection& aConnection,
                           ForwardedRequest& aRequest,
                           TargetExchange& aExchange,
@@ -91,9 +98,11 @@
   State mState;
   HttpServer mServer;
   HttpClientPool mPool;
+  LineLimit mLineLimit;
   TargetRanking mRanking;
   WeightedSplitter mSplitter;
   MetricsRegistry mMetrics;
+  std::map<std::string, uint64_t> mAttempts;
   std::map<ServiceName, RetryBudget> mBudgets;
   std::shared_ptr<const RoutingTable> mTable;
   size_t mInstanceCount = 1;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -66,16 +66,12 @@
   , mDirectory(
       aIo.get_executor(),
       { mSettings, mPlatform, mInstances, [this] { return IsReady(); } })
-  , mSummaries(aIo.get_executor(),
-               mInstances,
-               { mSettings.mAddress, mSettings.mPeerPort },
-               { [this] { return MakeSummary(); },
-                 [this](const InstanceSummary& aSummary) {
-                   mQuota.OnReport(aSummary.mName,
-                                   aSummary.mRun,
-                                   aSummary.mWorkspaceUses,
-                                   SteadyNow());
-                 } })
+  , mSummaries(
+      aIo.get_executor(),
+      mInstances,
+      { mSettings.mAddress, mSettings.mPeerPort },
+      { [this] { return MakeSummary(); },
+        [this](const InstanceSummary& aSummary) { OnSummary(aSummary); } })
   , mConfigurationFeed(
       aIo.get_executor(),
       mStore,
@@ -107,6 +103,16 @@
       FeedOptions(mPlatform.Names().mEvacuationKind),
       { [this](const StoreListing& aListing) { OnEvacuationListing(aListing); },
         [this](const StoreChange& aChange) { OnEvacuation(aChange); } })
+  , mStatus(aIo.get_executor(),
+            { mFrontend,
+              mTargets,
+              mInstances,
+              mQuota,
+              mConfigurationFeed,
+              mTargetFeed,
+              mEvacuationFeed,
+              [this] { return mTable.get(); },
+              [this] { return IsReady(); } })
 {
   mQuota.OnSurge([this] { TickSoon(); });
   mTargets.OnRemoved([this](const RegisteredTarget& aTarget) {
@@ -131,6 +137,8 @@
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mDirectory.Listen());
   BOOST_OUTCOME_TRYV(mSummaries.Listen());
+  BOOST_OUTCOME_TRYV(mStatus.Listen(mSettings.mMetricsEndpoint.mAddress,
+                                    mSettings.mMetricsEndpoint.mPort));
   for (const auto& it : mSettings.mSeedAddresses) {
     mSummaries.AddContact({ it, mSettings.mPeerPort });
   }
@@ -190,6 +198,44 @@
   UpdatePlan(now);
   mFrontend.SetInstanceCount(mInstances.CountKnown() + 1);
   mSummaries.Send();
+  LogPeerChanges(now);
+  mFrontend.LogSuppressed();
+  FlushLogs();
+}
+
+void GatewayServer::OnSummary(const InstanceSummary& aSummary)
+{
+  const TimePoint now = SteadyNow();
+  mQuota.OnReport(aSummary.mName, aSummary.mRun, aSummary.mWorkspaceUses, now);
+  mConfigurationFeed.ExpectVersion(aSummary.mConfigurationRevision, now);
+  mTargetFeed.ExpectVersion(aSummary.mTargetRevision, now);
+  mEvacuationFeed.ExpectVersion(aSummary.mEvacuationRevision, now);
+}
+
+void GatewayServer::LogPeerChanges(TimePoint aNow)
+{
+  std::map<InstanceName, uint64_t> live;
+  for (const auto* it : mInstances.Live(aNow)) {
+    live.emplace(it->mSummary.mName, it->mSummary.mRun);
+  }
+  for (const auto& [name, run] : live) {
+    const auto known = mLoggedLive.find(name);
+    if (known == mLoggedLive.end() || known->second != run) {
+      Log(LogLevel::Info,
+          "instance_live",
+          { { "peer", name.Text() }, { "run", run } });
+    }
+  }
+  for (const auto& [name, run] : mLoggedLive) {
+    if (!live.contains(name)) {
+      Log(LogLevel::Warn,
+          "instance_silent",
+          { { "peer", name.Text() },
+            { "run", run },
+            { "live", uint64_t(live.size()) } });
+    }
+  }
+  mLoggedLive = std::move(live);
 }
 
 void GatewayServer::UpdatePlan(TimePoint aNow)
@@ -217,6 +263,9 @@
   out.mCaller = mSettings.mCallerEndpoint;
   out.mReady = IsReady();
   out.mTableVersion = mTable ? mTable->Version() : 0;
+  out.mConfigurationRevision = mConfigurationFeed.NewestVersion();
+  out.mTargetRevision = mTargetFeed.NewestVersion();
+  out.mEvacuationRevision = mEvacuationFeed.NewestVersion();
   out.mWorkspaceUses = mWorkspaceUses;
   out.mServiceRates = mDemand.Rates();
   return out;
@@ -413,6 +462,7 @@
   Log(LogLevel::Info,
       "stopped",
       { { "cut_requests", mFrontend.Server().BusyConnections() } });
+  FlushLogs();
   mIo.stop();
 }
 
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -4,6 +4,7 @@
 #include "GatewayDirectory.h"
 #include "GatewayFrontend.h"
 #include "GatewaySettings.h"
+#include "GatewayStatus.h"
 #include "InstanceTable.h"
 #include "ObjectStore.h"
 #include "PlatformAdapter.h"
@@ -33,6 +34,9 @@
   /// Graceful shutdown: callers are sent elsewhere, requests in flight finish,
   /// then the `io_context` stops.
   void Stop();
+  uint16_t CallerPort() const { return mFrontend.Server().Port(); }
+  uint16_t LookupPort() const { return mDirectory.LookupPort(); }
+  uint16_t ReadyPort() const { return mDirectory.ReadyPort(); }
   /// Whether new callers should come here.
   bool IsReady() const;
 
@@ -44,6 +48,8 @@
   void Tick();
   /// Sends the next summary at once, unless the last one was just sent.
   void TickSoon();
+  void LogPeerChanges(TimePoint aNow);
+  void OnSummary(const InstanceSummary& aSummary);
   void UpdatePlan(TimePoint aNow);
   void OnConfiguration(const std::string& aValue, uint64_t aRevision);
   void OnTarget(const std::string& aName,
@@ -78,8 +84,11 @@
   StateFeed mConfigurationFeed;
   StateFeed mTargetFeed;
   StateFeed mEvacuationFeed;
+  GatewayStatus mStatus;
   TimePoint mTickedAt{};
   bool mTickIsDue = false;
+  /// Runs of the live instances, as the log has them.
+  std::map<InstanceName, uint64_t> mLoggedLive;
   bool mStopping = false;
 };
 
--- /dev/null
+++ b/src/GatewayStatus.cpp
@@ -0,0 +1,147 @@
+#include "GatewayStatus.h"
+
+#include "GatewayFrontend.h"
+#include "HttpHeaders.h"
+#include "InstanceTable.h"
+#include "MetricsWriter.h"
+#include "RoutingTable.h"
+#include "StateFeed.h"
+#include "SteadyTime.h"
+#include "TargetTable.h"
+#include "WorkspaceQuota.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pollenway {
+
+namespace {
+
+using nlohmann::json;
+
+json FeedJson(const StateFeed& aFeed)
+{
+  return { { "listed", aFeed.HasListing() },
+           { "lost", aFeed.IsLost() },
+           { "revision", aFeed.Revision() } };
+}
+
+json TargetsJson(const TargetTable& aTargets, TimePoint aNow)
+{
+  json out = json::array();
+  for (const auto& service : aTargets.Services()) {
+    for (const auto& it : aTargets.OfService(service)) {
+      json target = { { "target", it->Record().mName.Text() },
+                      { "service", service.Text() },
+                      { "zone", it->Record().mZone.Text() },
+                      { "slots", it->Record().mSlots },
+                      { "in_flight", it->InFlight() },
+                      { "load", it->EstimatedLoad(aNow) },
+                      { "paused", it->IsPaused(aNow) },
+                      { "cold", it->IsCold(aNow) },
+                      { "shed_share", it->ShedShare(aNow) } };
+      if (it->RunTime()) {
+        target["run_ms"] = ToSeconds(*it->RunTime()) * 1000;
+      }
+      out.push_back(std::move(target));
+    }
+  }
+  return out;
+}
+
+json InstancesJson(const InstanceTable& aInstances, TimePoint aNow)
+{
+  json out = json::array();
+  for (const auto& [name, peer] : aInstances.All()) {
+    out.push_back({ { "instance", name.Text() },
+                    { "zone", peer.mSummary.mZone.Text() },
+                    { "ready", peer.mSummary.mReady },
+                    { "live", aInstances.IsLive(peer, aNow) },
+                    { "table", peer.mSummary.mTableVersion },
+                    { "age_s", ToSeconds(aNow - peer.mHeardAt) } });
+  }
+  return out;
+}
+
+} // namespace
+
+GatewayStatus::GatewayStatus(asio::any_io_executor aExecutor, Sources aSources)
+  : mSources(std::move(aSources))
+  , mServer(aExecutor, HttpLimits(), [this](HttpConnection& aConnection) {
+    return Handle(aConnection);
+  })
+{
+}
+
+Result<void> GatewayStatus::Listen(const std::string& aAddress, uint16_t aPort)
+{
+  return mServer.Listen(aAddress, aPort);
+}
+
+json GatewayStatus::State(TimePoint aNow) const
+{
+  const auto* table = mSources.mTable();
+  json evacuated = json::array();
+  for (const auto& it : mSources.mTargets.EvacuatedZones()) {
+    evacuated.push_back(it.Text());
+  }
+  return { { "ready", mSources.mIsReady() },
+           { "table", table ? table->Version() : 0 },
+           { "feeds",
+             { { "configuration", FeedJson(mSources.mConfigurationFeed) },
+               { "targets", FeedJson(mSources.mTargetFeed) },
+               { "evacuations", FeedJson(mSources.mEvacuationFeed) } } },
+           { "evacuated_zones", std::move(evacuated) },
+           { "targets", TargetsJson(mSources.mTargets, aNow) },
+           { "workspaces", mSources.mQuota.State() },
+           { "instances", InstancesJson(mSources.mInstances, aNow) } };
+}
+
+std::string GatewayStatus::Metrics() const
+{
+  const TimePoint now = SteadyNow();
+  MetricsWriter writer;
+  mSources.mFrontend.Metrics().WriteTo(writer);
+  writer.Begin(
+    "pollenway_attempts_total", "counter", "Attempts at targets by result.");
+  for (const auto& [result, count] : mSources.mFrontend.Attempts()) {
+    writer.Sample({ { "result", result } }, count);
+  }
+  writer.Begin("pollenway_targets", "gauge", "Targets that may get requests.");
+  writer.Sample({}, uint64_t(mSources.mTargets.Size()));
+  writer.Begin("pollenway_instances_live", "gauge", "Other live instances.");
+  writer.Sample({}, uint64_t(mSources.mInstances.Live(now).size()));
+  writer.Begin("pollenway_connections", "gauge", "Callers' connections.");
+  writer.Sample({}, uint64_t(mSources.mFrontend.Server().Connections()));
+  const auto* table = mSources.mTable();
+  writer.Begin(
+    "pollenway_table_version", "gauge", "Version of the routing table.");
+  writer.Sample({}, table ? table->Version() : uint64_t(0));
+  writer.Begin("pollenway_store_lost", "gauge", "1 while the store is away.");
+  for (const auto& [kind, feed] :
+       { std::pair<const char*, const StateFeed*>{
+           "configuration", &mSources.mConfigurationFeed },
+         { "targets", &mSources.mTargetFeed },
+         { "evacuations", &mSources.mEvacuationFeed } }) {
+    writer.Sample({ { "feed", kind } }, uint64_t(feed->IsLost() ? 1 : 0));
+  }
+  return writer.Text();
+}
+
+Awaitable<void> GatewayStatus::Handle(HttpConnection& aConnection)
+{
+  const std::string target(aConnection.Header().target());
+  if (target == "/metrics") {
+    TextResponse answer(http::status::ok, 11);
+    answer.set(http::field::content_type, "text/plain; version=0.0.4");
+    answer.body() = Metrics();
+    co_await aConnection.Write(std::move(answer));
+  } else if (target == "/state") {
+    co_await aConnection.Write(
+      MakeJsonAnswer(http::status::ok, State(SteadyNow()).dump(2) + "\n"));
+  } else {
+    co_await aConnection.Write(
+      MakeRefusal(ResultCode::NotFound, "the paths are /metrics and /state"));
+  }
+}
+
+} // namespace pollenway
--- /dev/null
+++ b/src/GatewayStatus.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "HttpServer.h"
+#include "Result.h"
+#include "Time.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+
+namespace pollenway {
+
+class GatewayFrontend;
+class InstanceTable;
+class StateFeed;
+class TargetTable;
+class WorkspaceQuota;
+class RoutingTable;
+
+/// Serves a gateway's counters (`/metrics`) and a dump of its state
+/// (`/state`). Shows no key and no digest.
+class GatewayStatus
+{
+public:
+  struct Sources
+  {
+    const GatewayFrontend& mFrontend;
+    const TargetTable& mTargets;
+    const InstanceTable& mInstances;
+    const WorkspaceQuota& mQuota;
+    const StateFeed& mConfigurationFeed;
+    const StateFeed& mTargetFeed;
+    const StateFeed& mEvacuationFeed;
+    /// Null before the first one.
+    std::function<const RoutingTable*()> mTable;
+    std::function<bool()> mIsReady;
+  };
+
+  GatewayStatus(asio::any_io_executor aExecutor, Sources aSources);
+
+  Result<void> Listen(const std::string& aAddress, uint16_t aPort);
+  void Stop() { mServer.Abort(); }
+
+  std::string Metrics() const;
+  nlohmann::json State(TimePoint aNow) const;
+
+private:
+  Awaitable<void> Handle(HttpConnection& aConnection);
+
+  Sources mSources;
+  HttpServer mServer;
+};
+
+} // namespace pollenway
--- a/src/InstanceSummary.h
+++ b/src/InstanceSummary.h
@@ -29,6 +29,10 @@
   bool mReady = false;
   /// Version of the configuration in force there.
   uint64_t mTableVersion = 0;
+  /// Newest versions of the store's objects that it has seen.
+  uint64_t mConfigurationRevision = 0;
+  uint64_t mTargetRevision = 0;
+  uint64_t mEvacuationRevision = 0;
   std::vector<WorkspaceUse> mWorkspaceUses;
   std::vector<ServiceRate> mServiceRates;
   /// Addresses of other instances, a few at a time.
--- a/src/InstanceSummaryCodec.cpp
+++ b/src/InstanceSummaryCodec.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr unsigned kFormatVersion = 1;
-constexpr unsigned kFieldCount = 14;
+constexpr unsigned kFieldCount = 15;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -59,6 +59,11 @@
   for (uint32_t n = 0; n < peers.size; ++n) {
     out.mKnownPeers.push_back(ReadEndpoint(peers.ptr[n]));
   }
+  const auto [configuration, targets, evacuations] =
+    aFields[14].as<std::tuple<uint64_t, uint64_t, uint64_t>>();
+  out.mConfigurationRevision = configuration;
+  out.mTargetRevision = targets;
+  out.mEvacuationRevision = evacuations;
   out.mCrashSuspects = aFields[13].as<std::vector<uint64_t>>();
   return out;
 }
@@ -103,6 +108,10 @@
     PackEndpoint(packer, it);
   }
   packer.pack(aSummary.mCrashSuspects);
+  packer.pack_array(3);
+  packer.pack(aSummary.mConfigurationRevision);
+  packer.pack(aSummary.mTargetRevision);
+  packer.pack(aSummary.mEvacuationRevision);
   return std::string(buf.data(), buf.size());
 }
 
--- a/src/Logger.cpp
+++ b/src/Logger.cpp
@@ -1,5 +1,8 @@
 #include "Logger.h"
 
+#include "LogOutput.h"
+
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
@@ -47,6 +50,54 @@
   return sLogger;
 }
 
+/// Hands formatted lines to a `LogOutput`.
+class BoundedAppender : public log4cxx::AppenderSkeleton
+{
+public:
+  explicit BoundedAppender(const log4cxx::LayoutPtr& aLayout)
+    : mLayout(aLayout)
+    , mOutput({})
+  {
+  }
+
+  void close() override { mOutput.Flush(); }
+  bool requiresLayout() const override { return false; }
+  void Flush() { mOutput.Flush(); }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr& aEvent,
+              log4cxx::helpers::Pool& aPool) override
+  {
+    log4cxx::LogString line;
+    mLayout->format(line, aEvent, aPool);
+    mOutput.Add(line);
+  }
+
+private:
+  // The base class of log4cxx 1.0 does not give its layout to subclasses.
+  log4cxx::LayoutPtr mLayout;
+  LogOutput mOutput;
+};
+
+std::shared_ptr<BoundedAppender>& BoundedOutput()
+{
+  static std::shared_ptr<BoundedAppender> sAppender;
+  return sAppender;
+}
+
+log4cxx::LayoutPtr MakeLayout(const std::string& aProcessName)
+{
+  return std::make_shared<log4cxx::PatternLayout>(
+    "time=%d{ISO8601} level=%p process=" + aProcessName + " %m%n");
+}
+
+void UseAppender(const log4cxx::AppenderPtr& aAppender, LogLevel aLevel)
+{
+  RootLogger()->removeAllAppenders();
+  RootLogger()->addAppender(aAppender);
+  RootLogger()->setLevel(LevelOf(aLevel));
+}
+
 } // namespace
 
 LogField::LogField(std::string_view aKey, std::string_view aValue)
@@ -70,16 +121,24 @@
 void InitLogging(LogLevel aLevel, const std::string& aProcessName)
 {
   using namespace log4cxx;
-  const std::string pattern =
-    "time=%d{ISO8601} level=%p process=" + aProcessName + " %m%n";
-  auto layout = std::make_shared<PatternLayout>(pattern);
-  auto appender =
-    std::make_shared<ConsoleAppender>(layout, ConsoleAppender::getSystemErr());
+  auto appender = std::make_shared<ConsoleAppender>(
+    MakeLayout(aProcessName), ConsoleAppender::getSystemErr());
   helpers::Pool pool;
   appender->activateOptions(pool);
-  RootLogger()->removeAllAppenders();
-  RootLogger()->addAppender(appender);
-  RootLogger()->setLevel(LevelOf(aLevel));
+  UseAppender(appender, aLevel);
+}
+
+void InitBoundedLogging(LogLevel aLevel, const std::string& aProcessName)
+{
+  BoundedOutput() = std::make_shared<BoundedAppender>(MakeLayout(aProcessName));
+  UseAppender(BoundedOutput(), aLevel);
+}
+
+void FlushLogs()
+{
+  if (BoundedOutput()) {
+    BoundedOutput()->Flush();
+  }
 }
 
 void InitLogging(const std::string& aLevel, const std::string& aProcessName)
--- a/src/Logger.h
+++ b/src/Logger.h
@@ -34,6 +34,12 @@
 /// anything else counts as "info".
 void InitLogging(const std::string& aLevel, const std::string& aProcessName);
 
+/// Sends log lines to the standard output without waiting for its reader (see
+/// `LogOutput`). `FlushLogs` must be called regularly.
+void InitBoundedLogging(LogLevel aLevel, const std::string& aProcessName);
+/// Writes buffered lines. Does nothing after `InitLogging`.
+void FlushLogs();
+
 /// Writes one line of key=value pairs. Values with spaces or quotes are quoted.
 void Log(LogLevel aLevel,
          std::string_view aEvent,
--- a/src/StateFeed.cpp
+++ b/src/StateFeed.cpp
@@ -9,6 +9,16 @@
 
 namespace pollenway {
 
+namespace {
+
+/// Time in which an own watch brings what another instance has seen. A longer
+/// one would leave too little of the operators' bounds of some seconds.
+constexpr Duration kExpectedWithin = std::chrono::milliseconds(1200);
+/// Least time between two listings beside the watch.
+constexpr Duration kRefreshInterval = std::chrono::seconds(2);
+
+} // namespace
+
 StateFeed::StateFeed(asio::any_io_executor aExecutor,
                      ObjectStore& aStore,
                      Options aOptions,
@@ -53,7 +63,10 @@
   }
   NoteAnswer();
   mNeedsListing = false;
-  mRevision = listing.value().mRevision;
+  mRevision = std::max(mRevision, listing.value().mRevision);
+  for (const auto& it : listing.value().mObjects) {
+    mNewestVersion = std::max(mNewestVersion, it.mVersion);
+  }
   mCallbacks.mOnListing(listing.value());
   mHasListing = true;
   co_return true;
@@ -77,6 +90,7 @@
   NoteAnswer();
   mRevision = std::max(mRevision, changes.value().mRevision);
   for (const auto& it : changes.value().mChanges) {
+    mNewestVersion = std::max(mNewestVersion, it.mVersion);
     mCallbacks.mOnChange(it);
   }
   if (!changes.value().mChanges.empty()) {
@@ -92,6 +106,41 @@
   co_await timer.async_wait(Into(ec));
 }
 
+void StateFeed::ExpectVersion(uint64_t aVersion, TimePoint aNow)
+{
+  if (aVersion <= mNewestVersion || mNeedsListing) {
+    mExpectedVersion = 0;
+    return;
+  }
+  if (mExpectedVersion == 0) {
+    mExpectedVersion = aVersion;
+    mExpectedSince = aNow;
+    return;
+  }
+  if (mNewestVersion >= mExpectedVersion) {
+    mExpectedVersion = 0;
+    return;
+  }
+  if (aNow - mExpectedSince >= kExpectedWithin &&
+      aNow - mRefreshedAt >= kRefreshInterval) {
+    mRefreshedAt = aNow;
+    Log(LogLevel::Warn,
+        "watch_silent",
+        { { "kind", mOptions.mKind },
+          { "newest", mNewestVersion },
+          { "expected", mExpectedVersion } });
+    Spawn(mExecutor, Refresh());
+  }
+}
+
+Awaitable<void> StateFeed::Refresh()
+{
+  const bool done = co_await List();
+  if (done) {
+    mExpectedVersion = 0;
+  }
+}
+
 void StateFeed::NoteFailure(const Error& aError)
 {
   if (!mLost) {
--- a/src/StateFeed.h
+++ b/src/StateFeed.h
@@ -27,7 +27,7 @@
     /// Longest time that one watch waits. A longer one needs fewer calls.
     Duration mWatchTime = std::chrono::seconds(25);
     /// Pause after a change, in which further ones gather into one answer.
-    Duration mGatherTime = std::chrono::milliseconds(150);
+    Duration mGatherTime = std::chrono::milliseconds(300);
     Duration mFirstRetry = std::chrono::milliseconds(150);
     Duration mLongestRetry = std::chrono::milliseconds(1000);
     uint64_t mSeed = 1;
@@ -46,10 +46,17 @@
   /// it never failed.
   TimePoint RegainedAt() const { return mRegainedAt; }
   uint64_t Revision() const { return mRevision; }
+  /// Version of the newest object that was seen.
+  uint64_t NewestVersion() const { return mNewestVersion; }
+  /// Another instance has seen the object version `aVersion`. If this feed
+  /// does not see it within some time, its watch has gone silent, and the
+  /// objects are listed beside it.
+  void ExpectVersion(uint64_t aVersion, TimePoint aNow);
 
 private:
   Awaitable<void> Run();
   Awaitable<bool> List();
+  Awaitable<void> Refresh();
   Awaitable<bool> Watch();
   Awaitable<void> Pause(Duration aTime);
   void NoteFailure(const Error& aError);
@@ -64,6 +71,10 @@
   bool mLost = false;
   TimePoint mRegainedAt{};
   uint64_t mRevision = 0;
+  uint64_t mNewestVersion = 0;
+  uint64_t mExpectedVersion = 0;
+  TimePoint mExpectedSince{};
+  TimePoint mRefreshedAt{};
 };
 
 } // namespace pollenway
--- a/src/WorkspaceQuota.cpp
+++ b/src/WorkspaceQuota.cpp
@@ -1,5 +1,7 @@
 #include "WorkspaceQuota.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 
@@ -261,6 +263,22 @@
   }
 }
 
+nlohmann::json WorkspaceQuota::State() const
+{
+  nlohmann::json out = nlohmann::json::array();
+  for (const auto& [name, account] : mAccounts) {
+    out.push_back({ { "workspace", name.Text() },
+                    { "rate", account.mRate },
+                    { "burst", account.mBurst },
+                    { "level", account.mLevel },
+                    { "share", account.mShare },
+                    { "demand", account.mDemand },
+                    { "demand_of_others", account.mDemandOfOthers },
+                    { "admitted", account.mAdmitted } });
+  }
+  return out;
+}
+
 Duration WorkspaceQuota::TimeUntilAdmitted(
   const WorkspaceName& aWorkspace) const
 {
--- a/src/WorkspaceQuota.h
+++ b/src/WorkspaceQuota.h
@@ -6,6 +6,8 @@
 #include "WorkspaceGrant.h"
 #include "WorkspaceUse.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <map>
 #include <vector>
@@ -68,6 +70,9 @@
   /// Time until the next request of the workspace is likely to be admitted.
   Duration TimeUntilAdmitted(const WorkspaceName& aWorkspace) const;
 
+  /// One entry for each workspace with a rate, for the state dump.
+  nlohmann::json State() const;
+
 private:
   struct Account
   {
--- /dev/null
+++ b/test/platform/GatewayForwarding.cpp
@@ -0,0 +1,235 @@
+#include "GatewayFixture.h"
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+Awaitable<bool> CloseUnanswered(HttpConnection& aConnection,
+                                const TargetStandIn::Seen&)
+{
+  aConnection.Abort();
+  co_return true;
+}
+
+Awaitable<bool> AnswerUnsigned(HttpConnection& aConnection,
+                               const TargetStandIn::Seen& aSeen)
+{
+  auto answer = TargetStandIn::Answer(aSeen, http::status::ok);
+  answer.erase("X-Server-Signature");
+  co_await aConnection.Write(std::move(answer));
+  co_return true;
+}
+
+Awaitable<bool> AnswerEncoded(HttpConnection& aConnection,
+                              const TargetStandIn::Seen& aSeen)
+{
+  auto answer = TargetStandIn::Answer(aSeen, http::status::ok);
+  answer.set(http::field::content_encoding, "gzip");
+  co_await aConnection.Write(std::move(answer));
+  co_return true;
+}
+
+Awaitable<bool> AnswerShort(HttpConnection& aConnection,
+                            const TargetStandIn::Seen& aSeen)
+{
+  auto answer = TargetStandIn::Answer(aSeen, http::status::ok);
+  answer.content_length(1000);
+  ResponseHeader header(answer.base());
+  co_await aConnection.WriteHeader(std::move(header));
+  co_await aConnection.WriteSome("part", 4);
+  aConnection.Abort();
+  co_return true;
+}
+
+Awaitable<bool> Shed(HttpConnection& aConnection,
+                     const TargetStandIn::Seen& aSeen)
+{
+  auto answer = TargetStandIn::Answer(aSeen, http::status::service_unavailable);
+  answer.set("X-Not-Executed", "1");
+  co_await aConnection.Write(std::move(answer));
+  co_return true;
+}
+
+Awaitable<bool> FailWith503(HttpConnection& aConnection,
+                            const TargetStandIn::Seen& aSeen)
+{
+  co_await aConnection.Write(
+    TargetStandIn::Answer(aSeen, http::status::service_unavailable));
+  co_return true;
+}
+
+Awaitable<bool> AnswerAnotherFirst(HttpConnection& aConnection,
+                                   const TargetStandIn::Seen& aSeen)
+{
+  auto foreign = TargetStandIn::Answer(aSeen, http::status::ok);
+  foreign.set("X-Request-Id", "another");
+  foreign.body() = "not yours";
+  co_await aConnection.Write(std::move(foreign));
+  co_return false;
+}
+
+} // namespace
+
+// Guards against keys that reach targets, workspaces that callers claim, and
+// requests that are changed on the way.
+TEST_CASE("a request reaches its target with the fields of this system")
+{
+  GatewayFixture fixture(1);
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    auto request = fixture.Request(http::verb::post, "/once/a%20b?c=/&d");
+    request.set("X-Tenant-Id", "someone");
+    request.set("X-Target-Instance", "i-other");
+    request.set("X-Other", "kept");
+    request.body() = std::string(70'000, 'b');
+    auto answer = co_await fixture.Exchange(std::move(request));
+    CHECK(answer.result_int() == 200);
+    CHECK(answer["X-Server-Signature"] == "signature");
+    CHECK(answer.body() == "answer to /once/a%20b?c=/&d");
+    REQUIRE(fixture.SeenByAll() == 1);
+    const auto& seen = fixture.mTargets[0]->mSeen[0];
+    CHECK(seen.mHeader.method() == http::verb::post);
+    CHECK(seen.mHeader["X-Tenant-Id"] == "dairy");
+    CHECK(seen.mHeader["X-Target-Instance"] == "i-0");
+    CHECK(seen.mHeader["X-Other"] == "kept");
+    CHECK(seen.mHeader["X-Request-Id"] == "id-1");
+    CHECK(seen.mHeader.count(http::field::authorization) == 0);
+    CHECK(seen.mBody == std::string(70'000, 'b'));
+    const auto left = fixture.mPlatform.ReadDeadline(
+      std::string(seen.mHeader["X-Deadline-Ms"]));
+    REQUIRE(left);
+    CHECK(*left <= 1s);
+  });
+}
+
+// Guards against wrong refusals: each names its reason by status, and nothing
+// that is refused reaches a target.
+TEST_CASE("requests that may not run are refused")
+{
+  struct Row
+  {
+    const char* mHost;
+    const char* mPath;
+    const char* mKey;
+    size_t mBody;
+    unsigned mStatus;
+  };
+  const Row rows[] = {
+    { "a.example", "/safe/1", "Bearer key-2", 0, 401 },
+    { "a.example", "/safe/1", "", 0, 401 },
+    { "a.example", "/none/1", "Bearer key-1", 0, 404 },
+    { "b.example", "/safe/1", "Bearer key-1", 0, 404 },
+    { "a.example", "/once/1", "Bearer key-1", 100'001, 413 },
+    { "a.example", "/open/1", "", 0, 200 },
+    { "a.example:80", "/safe/1", "Bearer key-1", 0, 200 },
+  };
+  GatewayFixture fixture(1);
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    for (const auto& it : rows) {
+      CAPTURE(it.mPath);
+      fixture.mTargets[0]->mSeen.clear();
+      auto request = fixture.Request(http::verb::post, it.mPath);
+      request.set(http::field::host, it.mHost);
+      request.set(http::field::authorization, it.mKey);
+      request.body() = std::string(it.mBody, 'b');
+      auto answer = co_await fixture.Exchange(std::move(request));
+      CHECK(answer.result_int() == it.mStatus);
+      CHECK(fixture.SeenByAll() == (it.mStatus == 200 ? 1 : 0));
+    }
+  });
+}
+
+// Guards against a request that runs twice, against one that is given up
+// although another target may run it, and against an answer that claims more
+// than the target said.
+TEST_CASE("failures of targets are repeated only where that is allowed")
+{
+  struct Row
+  {
+    const char* mName;
+    const char* mPath;
+    TargetStandIn::Behaviour mBehaviour;
+    unsigned mStatus;
+    size_t mArrivals;
+  };
+  const Row rows[] = {
+    { "lost, idempotent", "/safe/1", CloseUnanswered, 502, 2 },
+    { "lost, once", "/once/1", CloseUnanswered, 502, 1 },
+    { "unsigned, idempotent", "/safe/1", AnswerUnsigned, 502, 2 },
+    { "unsigned, once", "/once/1", AnswerUnsigned, 502, 1 },
+    { "encoded, once", "/once/1", AnswerEncoded, 502, 1 },
+    { "short, once", "/once/1", AnswerShort, 502, 1 },
+    { "short, idempotent", "/safe/1", AnswerShort, 502, 2 },
+    { "not run, once", "/once/1", Shed, 503, 2 },
+    { "not run, idempotent", "/safe/1", Shed, 503, 2 },
+    { "503 without saying not run, once", "/once/1", FailWith503, 502, 1 },
+    { "answer of another request first",
+      "/once/1",
+      AnswerAnotherFirst,
+      200,
+      1 },
+  };
+  for (const auto& it : rows) {
+    CAPTURE(it.mName);
+    GatewayFixture fixture;
+    fixture.Configure();
+    fixture.SetBehaviour(it.mBehaviour);
+    fixture.Run([&]() -> Awaitable<void> {
+      co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+      auto answer =
+        co_await fixture.Exchange(fixture.Request(http::verb::post, it.mPath));
+      CHECK(answer.result_int() == it.mStatus);
+      CHECK(fixture.SeenByAll() == it.mArrivals);
+      if (it.mStatus == 503) {
+        CHECK(answer[http::field::retry_after] == "0.250");
+      }
+      if (it.mStatus == 200) {
+        CHECK(answer.body() == "answer to /once/1");
+      } else {
+        CHECK(answer.count("X-Server-Signature") == 0);
+      }
+    });
+  }
+}
+
+// Guards against a caller that waits beyond the route's time, and against a
+// target that works on for a caller who has left.
+TEST_CASE("an attempt ends with the route's time and with its caller")
+{
+  GatewayFixture fixture(1);
+  fixture.Configure();
+  bool left = false;
+  fixture.SetBehaviour([&](HttpConnection& aConnection,
+                           const TargetStandIn::Seen&) -> Awaitable<bool> {
+    aConnection.WatchDisconnect([&] { left = true; });
+    co_await fixture.Until([&] { return left; });
+    co_return true;
+  });
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    const TimePoint start = SteadyNow();
+    auto answer =
+      co_await fixture.Exchange(fixture.Request(http::verb::get, "/safe/1"));
+    CHECK(answer.result_int() == 504);
+    CHECK(SteadyNow() - start >= 1s);
+    CHECK(SteadyNow() - start < 1500ms);
+    co_await fixture.Until([&] { return left; });
+
+    left = false;
+    {
+      HttpClientConnection client(fixture.mIo.get_executor());
+      co_await client.Connect(
+        { asio::ip::make_address("127.0.0.1"), fixture.mServer->CallerPort() },
+        1s);
+      co_await client.Write(fixture.Request(http::verb::get, "/safe/2"), 1s);
+      co_await fixture.Until([&] { return fixture.SeenByAll() == 2; });
+    }
+    const TimePoint closed = SteadyNow();
+    co_await fixture.Until([&] { return left; });
+    CHECK(SteadyNow() - closed < 500ms);
+  });
+}
--- /dev/null
+++ b/test/platform/GatewayState.cpp
@@ -0,0 +1,179 @@
+#include "GatewayFixture.h"
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+Awaitable<unsigned> StatusOf(GatewayFixture& aFixture, std::string aPath)
+{
+  auto answer =
+    co_await aFixture.Exchange(aFixture.Request(http::verb::get, aPath));
+  co_return answer.result_int();
+}
+
+/// A GET at one of the gateway's other ports.
+Awaitable<TextResponse> GetAt(GatewayFixture& aFixture,
+                              uint16_t aPort,
+                              std::string aTarget)
+{
+  HttpClientPool pool(aFixture.mIo.get_executor(), {});
+  TextRequest request(http::verb::get, aTarget, 11);
+  request.set(http::field::host, "x");
+  auto answer =
+    co_await pool.Exchange({ asio::ip::make_address("127.0.0.1"), aPort },
+                           std::move(request),
+                           1s,
+                           100'000);
+  co_return answer ? std::move(answer.value())
+                   : TextResponse(http::status::unknown, 11);
+}
+
+} // namespace
+
+// Guards against requests that are refused for good, or named in look-ups,
+// before the instance knows its configuration.
+TEST_CASE("without a configuration requests are told to come back")
+{
+  GatewayFixture fixture(1);
+  fixture.Run([&]() -> Awaitable<void> {
+    auto answer =
+      co_await fixture.Exchange(fixture.Request(http::verb::get, "/safe/1"));
+    CHECK(answer.result_int() == 503);
+    CHECK_FALSE(fixture.mServer->IsReady());
+    auto ready =
+      co_await GetAt(fixture, fixture.mServer->ReadyPort(), "/readyz");
+    CHECK(ready.result_int() == 503);
+    fixture.Configure();
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    const unsigned status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 200);
+    auto lookup = co_await GetAt(fixture,
+                                 fixture.mServer->LookupPort(),
+                                 "/resolve?name=a.example&region=r&zone=z");
+    CHECK(lookup.result_int() == 200);
+    CHECK(lookup.body().find("addresses") != std::string::npos);
+  });
+}
+
+// Guards against an instance that goes back to an older configuration, and
+// against one that a damaged configuration stops.
+TEST_CASE("only a later and whole configuration comes into force")
+{
+  GatewayFixture fixture(1);
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    auto older = fixture.Configuration("00000004");
+    older["routes"].erase(0);
+    fixture.mStoreServer.Set("config", "main", older);
+    co_await fixture.Pause(400ms);
+    unsigned status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 200);
+    fixture.mStoreServer.Set("config", "main", { { "version", "zz" } });
+    co_await fixture.Pause(400ms);
+    status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 200);
+    auto newer = fixture.Configuration("0000000a");
+    newer["routes"].erase(0);
+    fixture.mStoreServer.Set("config", "main", newer);
+    co_await fixture.Pause(400ms);
+    status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 404);
+  });
+}
+
+// Guards against new requests to targets that leave, and against records of
+// other writers that harm the good ones.
+TEST_CASE("targets that leave get nothing new")
+{
+  GatewayFixture fixture;
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    fixture.mStoreServer.Set(
+      "servers", "i-0", fixture.TargetRecord(0, "draining"));
+    fixture.mStoreServer.Set("servers", "i-x", "no record");
+    co_await fixture.Pause(400ms);
+    for (int n = 0; n < 10; ++n) {
+      const unsigned status =
+        co_await StatusOf(fixture, "/safe/" + std::to_string(n));
+      CHECK(status == 200);
+    }
+    CHECK(fixture.mTargets[0]->mSeen.empty());
+    CHECK(fixture.mTargets[1]->mSeen.size() == 10);
+    fixture.mStoreServer.Set("evacuations", "z", nlohmann::json::object());
+    co_await fixture.Pause(400ms);
+    unsigned status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 503);
+    fixture.mStoreServer.Erase("evacuations", "z");
+    co_await fixture.Pause(400ms);
+    status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 200);
+  });
+}
+
+// Guards against an outage of the store that stops the serving, against
+// records that lapse in it being taken as gone at once, and against a change
+// that is missed after it.
+TEST_CASE("an outage of the store changes nothing but the news")
+{
+  GatewayFixture fixture;
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    fixture.mStoreServer.mFaults.mStatus = 503;
+    fixture.mStoreServer.DropHistory();
+    fixture.mStoreServer.Erase("servers", "i-0");
+    fixture.mStoreServer.Erase("servers", "i-1");
+    fixture.mStoreServer.DropHistory();
+    co_await fixture.Pause(500ms);
+    unsigned status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 200);
+    auto newer = fixture.Configuration("0000000a");
+    newer["routes"].erase(0);
+    fixture.mStoreServer.Set("config", "main", newer);
+    fixture.mStoreServer.mFaults = {};
+    co_await fixture.Pause(1500ms);
+    status = co_await StatusOf(fixture, "/safe/1");
+    CHECK(status == 404);
+    // Half a second after the return the lapsed records still count.
+    status = co_await StatusOf(fixture, "/open/1");
+    CHECK(status == 200);
+    co_await fixture.Pause(2500ms);
+    status = co_await StatusOf(fixture, "/open/1");
+    CHECK(status == 503);
+  });
+}
+
+// Guards against planned stops that cut requests, and against callers that are
+// still sent to an instance that stops.
+TEST_CASE("a graceful stop finishes what is in flight")
+{
+  GatewayFixture fixture(1);
+  fixture.Configure();
+  fixture.SetBehaviour(
+    [&](HttpConnection&, const TargetStandIn::Seen&) -> Awaitable<bool> {
+      co_await fixture.Pause(600ms);
+      co_return false;
+    });
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    unsigned status = 0;
+    asio::co_spawn(
+      fixture.mIo,
+      [&]() -> Awaitable<void> {
+        status = co_await StatusOf(fixture, "/once/1");
+      },
+      [](std::exception_ptr) {});
+    co_await fixture.Until([&] { return fixture.SeenByAll() == 1; });
+    fixture.mServer->Stop();
+    CHECK_FALSE(fixture.mServer->IsReady());
+    // Callers with an older look-up's answer are still served.
+    auto later =
+      co_await fixture.Exchange(fixture.Request(http::verb::get, "/safe/1"));
+    CHECK(later.result_int() == 200);
+    CHECK(later[http::field::connection] == "close");
+    CHECK(status == 200);
+  });
+}
--- /dev/null
+++ b/test/platform/PlatformStore.cpp
@@ -0,0 +1,113 @@
+#include "PlatformStore.h"
+
+#include "RunCoroutine.h"
+#include "StoreStandIn.h"
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+  explicit Fixture(size_t aPage = 500)
+    : mServer(mIo.get_executor(), aPage)
+  {
+    REQUIRE(mServer.Listen());
+    mStore.emplace(mIo.get_executor(),
+                   PlatformStore::Options{ .mEndpoint = mServer.Endpoint(),
+                                           .mConnectTimeout = 200ms,
+                                           .mRequestTimeout = 200ms });
+  }
+
+  asio::io_context mIo;
+  StoreStandIn mServer;
+  std::optional<PlatformStore> mStore;
+};
+
+} // namespace
+
+// Guards against a listing that ends with its first page.
+TEST_CASE("a listing has all pages, and a watch continues from it")
+{
+  Fixture fixture(2);
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    for (int n = 0; n < 5; ++n) {
+      fixture.mServer.Set("servers", "i-" + std::to_string(n), { { "n", n } });
+    }
+    auto listing = co_await fixture.mStore->List("servers");
+    REQUIRE(listing);
+    CHECK(listing.value().mObjects.size() == 5);
+    CHECK(listing.value().mObjects[4].mValue == "{\"n\":4}");
+    fixture.mServer.Set("servers", "i-5", { { "n", 5 } });
+    fixture.mServer.Erase("servers", "i-0");
+    auto changes =
+      co_await fixture.mStore->Watch("servers", listing.value().mRevision, 1s);
+    REQUIRE(changes);
+    REQUIRE(changes.value().mChanges.size() == 2);
+    CHECK(changes.value().mChanges[0].mName == "i-5");
+    CHECK(changes.value().mChanges[0].mValue);
+    CHECK(changes.value().mChanges[1].mName == "i-0");
+    CHECK_FALSE(changes.value().mChanges[1].mValue);
+  });
+}
+
+// Guards against an outage, a refusal or dropped history that is taken for an
+// empty answer.
+TEST_CASE("failures of the store are errors, each of its kind")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    fixture.mServer.Set("config", "main", { { "a", 1 } });
+    for (const unsigned status : { 429U, 503U }) {
+      fixture.mServer.mFaults.mStatus = status;
+      auto listing = co_await fixture.mStore->List("config");
+      REQUIRE(!listing);
+      CHECK(listing.error().mCode == ResultCode::StoreUnavailable);
+    }
+    fixture.mServer.mFaults = {};
+    fixture.mServer.DropHistory();
+    auto changes = co_await fixture.mStore->Watch("config", 1, 1s);
+    REQUIRE(!changes);
+    CHECK(changes.error().mCode == ResultCode::InvalidState);
+    auto missing = co_await fixture.mStore->Get("config", "other");
+    REQUIRE(!missing);
+    CHECK(missing.error().mCode == ResultCode::NotFound);
+    fixture.mServer.mFaults.mSilent = true;
+    auto silent = co_await fixture.mStore->List("config");
+    REQUIRE(!silent);
+    CHECK(silent.error().mCode == ResultCode::StoreUnavailable);
+    fixture.mServer.Stop();
+  });
+}
+
+// Guards against a write whose answer was lost being taken for one without
+// effect, and against two writers that overwrite each other.
+TEST_CASE("conditional writes meet conflicts, lost answers are unknown")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    auto& store = *fixture.mStore;
+    auto created = co_await store.Put("own", "n", "{}", {});
+    REQUIRE(created.IsDone());
+    auto again = co_await store.Put("own", "n", "{}", StoreCondition::Absent());
+    CHECK(again.mOutcome == WriteOutcome::Conflict);
+    auto replaced = co_await store.Put(
+      "own", "n", "{\"a\":1}", StoreCondition::AtVersion(created.mVersion));
+    CHECK(replaced.IsDone());
+    auto stale = co_await store.Put(
+      "own", "n", "{\"a\":2}", StoreCondition::AtVersion(created.mVersion));
+    CHECK(stale.mOutcome == WriteOutcome::Conflict);
+    fixture.mServer.mFaults.mLoseAnswers = true;
+    auto lost = co_await store.Put("own", "n", "{\"a\":3}", {});
+    CHECK(lost.mOutcome == WriteOutcome::Unknown);
+    fixture.mServer.mFaults = {};
+    auto got = co_await store.Get("own", "n");
+    REQUIRE(got);
+    CHECK(got.value().mValue == "{\"a\":3}");
+    auto removed = co_await store.Delete("own", "n", {});
+    CHECK(removed.IsDone());
+    auto absent = co_await store.Delete("own", "n", {});
+    CHECK(absent.mOutcome == WriteOutcome::NotFound);
+  });
+}
--- /dev/null
+++ b/test/platform/StoreStandIn.h
@@ -0,0 +1,252 @@
+#pragma once
+
+#include "HttpHeaders.h"
+#include "HttpServer.h"
+#include "RequestTarget.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace pollenway {
+
+/// Speaks the published calls of the platform's store on a loopback port:
+/// lists in pages, watches, conditional writes, and the faults that its pages
+/// describe.
+class StoreStandIn
+{
+public:
+  struct Faults
+  {
+    /// Status of each answer instead of doing the call; 0 for none.
+    unsigned mStatus = 0;
+    /// Writes are done and their answers lost.
+    bool mLoseAnswers = false;
+    /// Calls wait and are never answered.
+    bool mSilent = false;
+    /// Waiting watches hear nothing of changes.
+    bool mHideEvents = false;
+  };
+
+  explicit StoreStandIn(asio::any_io_executor aExecutor, size_t aPage = 500)
+    : mExecutor(aExecutor)
+    , mPage(aPage)
+    , mServer(aExecutor, HttpLimits(), [this](HttpConnection& aConnection) {
+      return Handle(aConnection);
+    })
+  {
+  }
+
+  bool Listen() { return bool(mServer.Listen("127.0.0.1", 0)); }
+  tcp::endpoint Endpoint() const
+  {
+    return { asio::ip::make_address("127.0.0.1"), mServer.Port() };
+  }
+  void Stop()
+  {
+    mStopped = true;
+    mServer.Abort();
+  }
+
+  /// Writes as the operators and targets do.
+  void Set(const std::string& aKind,
+           const std::string& aName,
+           nlohmann::json aSpec)
+  {
+    const nlohmann::json object = {
+      { "metadata", { { "name", aName }, { "revision", ++mRevision } } },
+      { "spec", std::move(aSpec) },
+      { "status", nullptr }
+    };
+    mKinds[aKind][aName] = object;
+    mHistory.push_back({ mRevision, aKind, object, false });
+  }
+  void Erase(const std::string& aKind, const std::string& aName)
+  {
+    auto object = mKinds[aKind][aName];
+    object["metadata"]["revision"] = ++mRevision;
+    mKinds[aKind].erase(aName);
+    mHistory.push_back({ mRevision, aKind, object, true });
+  }
+  void DropHistory()
+  {
+    mHistory.clear();
+    ++mHistoryDropped;
+  }
+
+  Faults mFaults;
+  unsigned mCalls = 0;
+
+private:
+  struct Event
+  {
+    uint64_t mRevision;
+    std::string mKind;
+    nlohmann::json mObject;
+    bool mDeleted;
+  };
+
+  static TextResponse Json(http::status aStatus, const nlohmann::json& aBody)
+  {
+    return MakeJsonAnswer(aStatus, aBody.dump());
+  }
+
+  Awaitable<void> Handle(HttpConnection& aConnection)
+  {
+    ++mCalls;
+    const auto text = std::string(aConnection.Header().target());
+    const auto method = aConnection.Header().method();
+    auto body = co_await aConnection.ReadBody(1 << 20);
+    while (mFaults.mSilent && !mStopped) {
+      co_await Pause();
+    }
+    if (mFaults.mStatus) {
+      co_await aConnection.Write(
+        TextResponse(http::status(mFaults.mStatus), 11));
+      co_return;
+    }
+    const auto target = RequestTarget::Parse(text);
+    if (target.mSegments.size() < 2 || target.mSegments[0] != "objects" ||
+        !body) {
+      co_await aConnection.Write(TextResponse(http::status::not_found, 11));
+      co_return;
+    }
+    if (target.Number("watch")) {
+      co_await Watch(aConnection, target);
+      co_return;
+    }
+    auto answer =
+      method == http::verb::get
+        ? Read(target)
+        : Write(method,
+                target,
+                nlohmann::json::parse(body.value(), nullptr, false));
+    if (method != http::verb::get && mFaults.mLoseAnswers) {
+      aConnection.Abort();
+      co_return;
+    }
+    co_await aConnection.Write(std::move(answer));
+  }
+
+  TextResponse Read(const RequestTarget& aTarget)
+  {
+    const auto& objects = mKinds[aTarget.mSegments[1]];
+    if (aTarget.mSegments.size() > 2) {
+      const auto it = objects.find(aTarget.mSegments[2]);
+      return it == objects.end() ? Json(http::status::not_found, {})
+                                 : Json(http::status::ok, it->second);
+    }
+    nlohmann::json items = nlohmann::json::array();
+    const auto after = aTarget.mQuery.find("after");
+    auto it = after == aTarget.mQuery.end()
+                ? objects.begin()
+                : objects.upper_bound(after->second);
+    for (; it != objects.end() && items.size() < mPage; ++it) {
+      items.push_back(it->second);
+    }
+    return Json(http::status::ok,
+                { { "items", std::move(items) },
+                  { "hasMore", it != objects.end() },
+                  { "storeRevision", mRevision } });
+  }
+
+  TextResponse Write(http::verb aMethod,
+                     const RequestTarget& aTarget,
+                     const nlohmann::json& aBody)
+  {
+    const auto& kind = aTarget.mSegments[1];
+    auto& objects = mKinds[kind];
+    const bool isPost = aMethod == http::verb::post;
+    const std::string name = isPost
+                               ? aBody["metadata"]["name"].get<std::string>()
+                               : aTarget.mSegments.at(2);
+    const auto it = objects.find(name);
+    if (isPost ? it != objects.end() : it == objects.end()) {
+      return isPost ? Json(http::status::conflict, it->second)
+                    : Json(http::status::not_found, {});
+    }
+    std::optional<uint64_t> condition = aTarget.Number("revision");
+    if (aBody.is_object() && aBody["metadata"].contains("revision")) {
+      condition = aBody["metadata"]["revision"].get<uint64_t>();
+    }
+    if (condition && it->second["metadata"]["revision"] != *condition) {
+      return Json(http::status::conflict, it->second);
+    }
+    if (aMethod == http::verb::delete_) {
+      Erase(kind, name);
+      return Json(http::status::ok, nlohmann::json::object());
+    }
+    Set(kind, name, aBody["spec"]);
+    return Json(http::status::ok, objects[name]);
+  }
+
+  Awaitable<void> Watch(HttpConnection& aConnection,
+                        const RequestTarget& aTarget)
+  {
+    const uint64_t after = *aTarget.Number("watch");
+    const unsigned dropped = mHistoryDropped;
+    const uint64_t oldest =
+      mHistory.empty() ? mRevision : mHistory.front().mRevision - 1;
+    if (after < oldest) {
+      co_await aConnection.Write(TextResponse(http::status::gone, 11));
+      co_return;
+    }
+    const auto end = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(*aTarget.Number("waitMs"));
+    nlohmann::json events = EventsAfter(aTarget.mSegments[1], after);
+    while (events.empty() && std::chrono::steady_clock::now() < end &&
+           !mStopped) {
+      co_await Pause();
+      if (mHistoryDropped > dropped) {
+        // The platform cuts the watches whose history it drops.
+        aConnection.Abort();
+        co_return;
+      }
+      if (mFaults.mHideEvents) {
+        continue;
+      }
+      events = EventsAfter(aTarget.mSegments[1], after);
+    }
+    co_await aConnection.Write(WatchAnswer(std::move(events)));
+  }
+
+  // Kept out of the coroutine: g++ 12 fails on such lists in coroutines.
+  nlohmann::json EventsAfter(const std::string& aKind, uint64_t aAfter) const
+  {
+    nlohmann::json out = nlohmann::json::array();
+    for (const auto& it : mHistory) {
+      if (it.mRevision > aAfter && it.mKind == aKind) {
+        out.push_back({ { "object", it.mObject }, { "deleted", it.mDeleted } });
+      }
+    }
+    return out;
+  }
+
+  TextResponse WatchAnswer(nlohmann::json aEvents) const
+  {
+    return Json(
+      http::status::ok,
+      { { "events", std::move(aEvents) }, { "storeRevision", mRevision } });
+  }
+
+  Awaitable<void> Pause()
+  {
+    asio::steady_timer timer(mExecutor, std::chrono::milliseconds(5));
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+  }
+
+  asio::any_io_executor mExecutor;
+  size_t mPage;
+  HttpServer mServer;
+  std::map<std::string, std::map<std::string, nlohmann::json>> mKinds;
+  std::deque<Event> mHistory;
+  uint64_t mRevision = 10;
+  unsigned mHistoryDropped = 0;
+  bool mStopped = false;
+};
+
+} // namespace pollenway
