--- /dev/null
+++ b/src/CrashLedger.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "CrashCount.h"
+#include "Ids.h"
+#include "Time.h"
+
+#include <map>
+#include <vector>
+
+namespace pollenway {
+
+/// Counts over all instances how often a request's targets broke off while
+/// they ran it, and tells which requests are to be refused since they crash
+/// the targets that run them. An answer clears a request at its instance.
+class CrashLedger
+{
+public:
+  /// Breaks after which a request is refused. Fewer can be chance: a lost
+  /// answer looks the same as a crash.
+  static constexpr unsigned kMostBreaks = 3;
+  /// A request that has not broken a target for this time is forgotten.
+  static constexpr Duration kForgottenAfter = std::chrono::seconds(60);
+
+  bool IsRefused(RequestFingerprint aRequest) const;
+  /// Its target's connection ended while it ran.
+  void OnBreak(RequestFingerprint aRequest, TimePoint aNow);
+  void OnAnswer(RequestFingerprint aRequest);
+  /// What another instance counts now; replaces what it said before.
+  void OnReport(const InstanceName& aInstance,
+                const std::vector<CrashCount>& aCounts);
+  /// Own counts for the next report, those of the latest breaks.
+  std::vector<CrashCount> Report(TimePoint aNow);
+  void Forget(const InstanceName& aInstance) { mReports.erase(aInstance); }
+
+private:
+  struct Own
+  {
+    unsigned mCount = 0;
+    TimePoint mLast{};
+  };
+
+  std::map<RequestFingerprint, Own> mOwn;
+  std::map<InstanceName, std::vector<CrashCount>> mReports;
+};
+
+} // namespace pollenway
--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -2,6 +2,7 @@
 
 #include "HttpTypes.h"
 #include "Ids.h"
+#include "RequestFingerprint.h"
 #include "RoutingTable.h"
 #include "Time.h"
 
@@ -25,6 +26,7 @@
   const WorkspaceGrant* mWorkspace = nullptr;
   ServiceName mService;
   uint64_t mObject = 0;
+  RequestFingerprint mFingerprint;
   RequestHeader mHeader;
   std::string mBody;
   TimePoint mReceivedAt{};
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -234,6 +234,16 @@
   if (!checked) {
     co_return checked.error();
   }
+  aRequest.mFingerprint = RequestFingerprint::Of(
+    aRequest.mWorkspace ? aRequest.mWorkspace->mName : WorkspaceName(),
+    View(aRequest.mHeader.method_string()),
+    View(aRequest.mHeader.target()),
+    aRequest.mBody);
+  if (mState.mCrashes.IsRefused(aRequest.mFingerprint)) {
+    co_return Error{ ResultCode::Quarantined,
+                     "the request has broken off several targets",
+                     {} };
+  }
   if (aRequest.mWorkspace &&
       !mState.mQuota.Admit(aRequest.mWorkspace->mName, SteadyNow())) {
     co_return Error{ ResultCode::RateExceeded,
@@ -331,7 +341,12 @@
       aTarget.OnLoad(*load, now);
     }
   }
+  if (aAnswer.mFailure == AttemptFailure::ConnectionLost &&
+      aAnswer.mBytesSent) {
+    mState.mCrashes.OnBreak(aRequest.mFingerprint, now);
+  }
   if (!aAnswer.mFailure) {
+    mState.mCrashes.OnAnswer(aRequest.mFingerprint);
     aTarget.OnAnswer(aLatency, aLoadWhenSent, now);
   } else if (*aAnswer.mFailure == AttemptFailure::Shed) {
     aTarget.OnShed(now);
@@ -404,14 +419,16 @@
     };
     const auto decision = policy.Decide(report, budget, SteadyNow());
     request.mMayHaveRun = decision.mMayHaveRun;
-    if (decision.mRetry) {
+    if (decision.mRetry && !mState.mCrashes.IsRefused(request.mFingerprint)) {
       continue;
     }
     if (failedThere) {
       co_await Deliver(aConnection, request, exchange, std::move(answer));
       co_return;
     }
-    co_await Refuse(aConnection, request, decision.mCode, answer.mDetail);
+    const ResultCode code =
+      decision.mRetry ? ResultCode::BackendConnectionLost : decision.mCode;
+    co_await Refuse(aConnection, request, code, answer.mDetail);
     co_return;
   }
 }
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ColdAdmission.h"
+#include "CrashLedger.h"
 #include "GatewaySettings.h"
 #include "HttpClientPool.h"
 #include "HttpServer.h"
@@ -37,6 +38,7 @@
     TargetTable& mTargets;
     WorkspaceQuota& mQuota;
     ColdAdmission& mCold;
+    CrashLedger& mCrashes;
     ServiceDemand& mDemand;
     const PlacementPlan& mPlan;
   };
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -62,7 +62,14 @@
   , mDemand(SteadyNow())
   , mPlan(mSettings.mZone, mSettings.mRegionOf)
   , mFrontend(aIo.get_executor(),
-              { mSettings, mPlatform, mTargets, mQuota, mCold, mDemand, mPlan })
+              { mSettings,
+                mPlatform,
+                mTargets,
+                mQuota,
+                mCold,
+                mCrashes,
+                mDemand,
+                mPlan })
   , mDirectory(
       aIo.get_executor(),
       { mSettings, mPlatform, mInstances, [this] { return IsReady(); } })
@@ -207,6 +214,7 @@
 {
   const TimePoint now = SteadyNow();
   mQuota.OnReport(aSummary.mName, aSummary.mRun, aSummary.mWorkspaceUses, now);
+  mCrashes.OnReport(aSummary.mName, aSummary.mCrashCounts);
   mConfigurationFeed.ExpectVersion(aSummary.mConfigurationRevision, now);
   mTargetFeed.ExpectVersion(aSummary.mTargetRevision, now);
   mEvacuationFeed.ExpectVersion(aSummary.mEvacuationRevision, now);
@@ -267,6 +275,7 @@
   out.mTargetRevision = mTargetFeed.NewestVersion();
   out.mEvacuationRevision = mEvacuationFeed.NewestVersion();
   out.mWorkspaceUses = mWorkspaceUses;
+  out.mCrashCounts = mCrashes.Report(SteadyNow());
   out.mServiceRates = mDemand.Rates();
   return out;
 }
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ColdAdmission.h"
+#include "CrashLedger.h"
 #include "GatewayDirectory.h"
 #include "GatewayFrontend.h"
 #include "GatewaySettings.h"
@@ -76,6 +77,7 @@
   /// For the next summary.
   std::vector<WorkspaceUse> mWorkspaceUses;
   ColdAdmission mCold;
+  CrashLedger mCrashes;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
   GatewayFrontend mFrontend;
--- a/src/InstanceSummary.h
+++ b/src/InstanceSummary.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashCount.h"
 #include "Ids.h"
 #include "IpEndpoint.h"
 #include "ServiceDemand.h"
@@ -37,8 +38,8 @@
   std::vector<ServiceRate> mServiceRates;
   /// Addresses of other instances, a few at a time.
   std::vector<IpEndpoint> mKnownPeers;
-  /// Fingerprints of requests that lost their target's connection here.
-  std::vector<uint64_t> mCrashSuspects;
+  /// Requests whose targets broke off while they ran them.
+  std::vector<CrashCount> mCrashCounts;
 
   bool operator==(const InstanceSummary&) const = default;
 };
--- a/src/InstanceSummaryCodec.cpp
+++ b/src/InstanceSummaryCodec.cpp
@@ -64,7 +64,12 @@
   out.mConfigurationRevision = configuration;
   out.mTargetRevision = targets;
   out.mEvacuationRevision = evacuations;
-  out.mCrashSuspects = aFields[13].as<std::vector<uint64_t>>();
+  const auto& crashes = ReadArray(aFields[13]);
+  for (uint32_t n = 0; n < crashes.size; ++n) {
+    const auto [request, count] =
+      crashes.ptr[n].as<std::tuple<uint64_t, unsigned>>();
+    out.mCrashCounts.push_back({ { request }, count });
+  }
   return out;
 }
 
@@ -107,7 +112,12 @@
   for (const auto& it : aSummary.mKnownPeers) {
     PackEndpoint(packer, it);
   }
-  packer.pack(aSummary.mCrashSuspects);
+  packer.pack_array(uint32_t(aSummary.mCrashCounts.size()));
+  for (const auto& it : aSummary.mCrashCounts) {
+    packer.pack_array(2);
+    packer.pack(it.mRequest.mValue);
+    packer.pack(it.mCount);
+  }
   packer.pack_array(3);
   packer.pack(aSummary.mConfigurationRevision);
   packer.pack(aSummary.mTargetRevision);
--- /dev/null
+++ b/test/correctness/CrashLedger.cpp
@@ -0,0 +1,58 @@
+#include "CrashLedger.h"
+
+#include "../GatewaySamples.h"
+
+#include <doctest/doctest.h>
+
+using namespace pollenway;
+using namespace pollenway::sample;
+
+// Guards against a request that crashes one target after the other, at
+// whatever instance its caller sends it again.
+TEST_CASE("a request is refused after three breaks over all instances")
+{
+  const RequestFingerprint bad{ 1 };
+  const RequestFingerprint good{ 2 };
+  CrashLedger here;
+  CrashLedger there;
+  here.OnBreak(bad, At(0));
+  there.OnBreak(bad, At(1));
+  here.OnReport(InstanceName("there"), there.Report(At(1)));
+  CHECK_FALSE(here.IsRefused(bad));
+  there.OnBreak(bad, At(2));
+  here.OnReport(InstanceName("there"), there.Report(At(2)));
+  // A repeated report counts once.
+  here.OnReport(InstanceName("there"), there.Report(At(2)));
+  CHECK(here.IsRefused(bad));
+  CHECK_FALSE(here.IsRefused(good));
+}
+
+// Guards against a request that is refused for good after a network fault.
+TEST_CASE("an answer or time clears a request")
+{
+  const RequestFingerprint request{ 1 };
+  CrashLedger ledger;
+  for (int n = 0; n < 3; ++n) {
+    ledger.OnBreak(request, At(n));
+  }
+  CHECK(ledger.IsRefused(request));
+  (void)ledger.Report(At(70));
+  CHECK_FALSE(ledger.IsRefused(request));
+  ledger.OnBreak(request, At(71));
+  ledger.OnBreak(request, At(71));
+  ledger.OnAnswer(request);
+  ledger.OnBreak(request, At(72));
+  CHECK_FALSE(ledger.IsRefused(request));
+}
+
+// Guards against reports that don't fit a datagram when a network fault breaks
+// many requests at once.
+TEST_CASE("a report has the latest breaks and is bounded")
+{
+  CrashLedger ledger;
+  for (uint64_t n = 0; n < 10'000; ++n) {
+    ledger.OnBreak({ n }, At(double(n) / 1000));
+  }
+  const auto report = ledger.Report(At(10));
+  CHECK(report.size() == 32);
+}
--- a/test/correctness/InstanceSummary.cpp
+++ b/test/correctness/InstanceSummary.cpp
@@ -26,7 +26,10 @@
   out.mWorkspaceUses = { { WorkspaceName("dairy"), 2.5, -3 } };
   out.mServiceRates = { { ServiceName("lookup"), 40 } };
   out.mKnownPeers = { { "127.0.0.2", 7000 } };
-  out.mCrashSuspects = { 5, 6 };
+  out.mCrashCounts = { { { 5 }, 1 }, { { 6 }, 3 } };
+  out.mConfigurationRevision = 8;
+  out.mTargetRevision = 9;
+  out.mEvacuationRevision = 10;
   return out;
 }
 
--- a/test/correctness/LogOutput.cpp
+++ b/test/correctness/LogOutput.cpp
@@ -1,6 +1,6 @@
 #include "LogOutput.h"
-#include "Logger.h"
 #include "LineLimit.h"
+#include "Logger.h"
 
 #include "../GatewaySamples.h"
 
