--- /dev/null
+++ b/src/ByteBudget.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+#include <utility>
+
+namespace pollenway {
+
+/// Bounds the memory of something that comes in pieces of known size.
+class ByteBudget
+{
+public:
+  explicit ByteBudget(uint64_t aMost)
+    : mMost(aMost)
+  {
+  }
+
+  /// Bytes held until it is destroyed.
+  class Reservation
+  {
+  public:
+    Reservation() = default;
+    Reservation(Reservation&& aOther) noexcept
+      : mBudget(std::exchange(aOther.mBudget, nullptr))
+      , mBytes(aOther.mBytes)
+    {
+    }
+    Reservation& operator=(Reservation&& aOther) noexcept
+    {
+      std::swap(mBudget, aOther.mBudget);
+      std::swap(mBytes, aOther.mBytes);
+      return *this;
+    }
+    ~Reservation()
+    {
+      if (mBudget) {
+        mBudget->mUsed -= mBytes;
+      }
+    }
+    explicit operator bool() const { return mBudget != nullptr; }
+
+  private:
+    friend class ByteBudget;
+    ByteBudget* mBudget = nullptr;
+    uint64_t mBytes = 0;
+  };
+
+  /// False as a value if there is no room for `aBytes`.
+  Reservation Reserve(uint64_t aBytes)
+  {
+    Reservation out;
+    if (aBytes <= mMost && mUsed <= mMost - aBytes) {
+      mUsed += aBytes;
+      out.mBudget = this;
+      out.mBytes = aBytes;
+    }
+    return out;
+  }
+  uint64_t Used() const { return mUsed; }
+
+private:
+  uint64_t mMost;
+  uint64_t mUsed = 0;
+};
+
+} // namespace pollenway
--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "HttpTypes.h"
 #include "Ids.h"
 #include "RequestFingerprint.h"
@@ -29,6 +30,7 @@
   RequestFingerprint mFingerprint;
   RequestHeader mHeader;
   std::string mBody;
+  ByteBudget::Reservation mBodyMemory;
   TimePoint mReceivedAt{};
   TimePoint mDeadline{};
   std::vector<TargetName> mTried;
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -32,6 +32,10 @@
 /// Part of the shared retry budget that is used. Instances count their parts
 /// by themselves, and the number of instances is seen late.
 constexpr double kUsedRetryPart = 0.6;
+/// Bodies are held twice while they are sent; an eighth of the memory leaves
+/// room for connections and answers.
+constexpr uint64_t kBodyMemoryParts = 8;
+constexpr uint64_t kAssumedChunkedBytes = 256 * 1024;
 /// Log lines on requests in a second; one instance serves about a hundred
 /// requests a second on the busiest days.
 constexpr unsigned kMostLinesPerSecond = 400;
@@ -90,6 +94,7 @@
             HttpLimits(),
             [this](HttpConnection& aConnection) { return Handle(aConnection); })
   , mPool(aExecutor, PoolOptions())
+  , mBodyMemory(aState.mSettings.mMemoryBytes / kBodyMemoryParts)
   , mLineLimit(kMostLinesPerSecond)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
 {
@@ -215,22 +220,43 @@
   return outcome::success();
 }
 
-Awaitable<Result<void>> GatewayFrontend::Admit(HttpConnection& aConnection,
-                                               ForwardedRequest& aRequest)
+Awaitable<Result<void>> GatewayFrontend::ReadBody(HttpConnection& aConnection,
+                                                  ForwardedRequest& aRequest)
 {
-  auto checked = CheckRoute(aRequest.mHeader, aRequest);
   const uint64_t limit =
     mTable ? mTable->Limits().mBodyBytes : CallerLimits().mBodyBytes;
-  if (aConnection.BodyLength().value_or(0) > limit) {
+  const auto length = aConnection.BodyLength();
+  if (length.value_or(0) > limit) {
     co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
   }
-  // The body of a refused request is read as well, so that the caller can use
-  // its connection again.
+  if (length != 0) {
+    // The length of a body in chunks is not known before its end.
+    aRequest.mBodyMemory =
+      mBodyMemory.Reserve(length.value_or(kAssumedChunkedBytes));
+    if (!aRequest.mBodyMemory) {
+      co_return Error{ ResultCode::QueueFull,
+                       "the memory for request bodies is used up",
+                       {} };
+    }
+  }
   auto body = co_await aConnection.ReadBody(limit);
   if (!body) {
     co_return body.error();
   }
   aRequest.mBody = std::move(body.value());
+  co_return outcome::success();
+}
+
+Awaitable<Result<void>> GatewayFrontend::Admit(HttpConnection& aConnection,
+                                               ForwardedRequest& aRequest)
+{
+  auto checked = CheckRoute(aRequest.mHeader, aRequest);
+  // The body of a refused request is read as well, so that the caller can use
+  // its connection again.
+  auto body = co_await ReadBody(aConnection, aRequest);
+  if (!body) {
+    co_return body.error();
+  }
   if (!checked) {
     co_return checked.error();
   }
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "ColdAdmission.h"
 #include "CrashLedger.h"
 #include "GatewaySettings.h"
@@ -69,6 +70,8 @@
   /// error is the refusal.
   Awaitable<Result<void>> Admit(HttpConnection& aConnection,
                                 ForwardedRequest& aRequest);
+  Awaitable<Result<void>> ReadBody(HttpConnection& aConnection,
+                                   ForwardedRequest& aRequest);
   Result<void> CheckRoute(const RequestHeader& aHeader,
                           ForwardedRequest& aRequest) const;
   Awaitable<void> Forward(HttpConnection& aConnection,
@@ -100,6 +103,7 @@
   State mState;
   HttpServer mServer;
   HttpClientPool mPool;
+  ByteBudget mBodyMemory;
   LineLimit mLineLimit;
   TargetRanking mRanking;
   WeightedSplitter mSplitter;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -441,6 +441,24 @@
   mTargets.SetEvacuatedZones(std::move(aZones));
 }
 
+void GatewayServer::Reload(const GatewaySettings& aSettings)
+{
+  const bool needsRestart =
+    aSettings.mName != mSettings.mName || aSettings.mZone != mSettings.mZone ||
+    aSettings.mCallerEndpoint != mSettings.mCallerEndpoint ||
+    aSettings.mLookupEndpoint != mSettings.mLookupEndpoint ||
+    aSettings.mStoreEndpoint != mSettings.mStoreEndpoint;
+  mSettings.mBounds = aSettings.mBounds;
+  mSettings.mSeedAddresses = aSettings.mSeedAddresses;
+  for (const auto& it : mSettings.mSeedAddresses) {
+    mSummaries.AddContact({ it, mSettings.mPeerPort });
+  }
+  Log(needsRestart ? LogLevel::Warn : LogLevel::Info,
+      "settings_reloaded",
+      { { "needs_restart", needsRestart ? "yes" : "no" },
+        { "seeds", uint64_t(mSettings.mSeedAddresses.size()) } });
+}
+
 void GatewayServer::Stop()
 {
   if (mStopping) {
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -35,6 +35,9 @@
   /// Graceful shutdown: callers are sent elsewhere, requests in flight finish,
   /// then the `io_context` stops.
   void Stop();
+  /// Takes changed settings. Limits and seeds change at once; a change of the
+  /// instance's name, place or addresses needs a restart and is only logged.
+  void Reload(const GatewaySettings& aSettings);
   uint16_t CallerPort() const { return mFrontend.Server().Port(); }
   uint16_t LookupPort() const { return mDirectory.LookupPort(); }
   uint16_t ReadyPort() const { return mDirectory.ReadyPort(); }
--- a/test/platform/GatewayForwarding.cpp
+++ b/test/platform/GatewayForwarding.cpp
@@ -222,7 +222,7 @@
     left = false;
     {
       HttpClientConnection client(fixture.mIo.get_executor());
-      co_await client.Connect(
+      (void)co_await client.Connect(
         { asio::ip::make_address("127.0.0.1"), fixture.mServer->CallerPort() },
         1s);
       co_await client.Write(fixture.Request(http::verb::get, "/safe/2"), 1s);
