Leave an object's home for one other target only, and later

Cause: under load an object's requests spread over four targets, which all ran it cold; the queue at the home would have been shorter than a cold run. Change: two candidates, a cold run counts 4.5, local load 1.1.

--- a/src/PlacementPlan.cpp
+++ b/src/PlacementPlan.cpp
@@ -9,7 +9,7 @@
 /// How much more than its even part of the work a zone's or region's targets
 /// may be given by their own callers. A near home saves a round trip between
 /// regions; an overloaded one costs more.
-constexpr double kLocalLoad = 1.3;
+constexpr double kLocalLoad = 1.1;
 /// Demand that each zone is assumed to have besides the measured, relative to
 /// the mean of all zones. Keeps the plan steady while little is known.
 constexpr double kAssumedDemand = 0.25;
--- a/src/TargetRanking.cpp
+++ b/src/TargetRanking.cpp
@@ -10,14 +10,15 @@
 
 namespace {
 
-/// A target that does not keep the state of an object needs about this many
-/// times as long for a request.
-constexpr double kColdRunFactor = 3;
+/// Price of a run elsewhere, in runs at home. A target that does not keep the
+/// state of an object needs about three times as long for a request, and the
+/// slots that it uses for that are lost to the objects that it keeps.
+constexpr double kColdRunFactor = 4.5;
 /// Run time assumed of a target that has not answered yet.
 constexpr double kAssumedRunSeconds = 0.1;
-/// Candidates that are compared: the home and those next in the order. More
+/// Candidates that are compared: the home and the next in the order. More
 /// would spread an object over many targets, which then all run it cold.
-constexpr size_t kComparedCandidates = 4;
+constexpr size_t kComparedCandidates = 2;
 /// Distinguishes the choice of the distance from the choice of the target.
 constexpr uint64_t kDistanceSalt = 0x706c616365;
 /// Large bodies are kept near: share of the objects, relative to the plan's.
