Do not handle a request whose connection was closed as idle

Its bytes had been read from the socket, and the coroutine that would mark the connection as busy had not run yet when the idle connections were closed. Ruled out: requests in flight at the end of the grace time; the request came with the close. Change: HttpConnection gives up a header read after the close. RequestLog takes logs and counters out of GatewayFrontend; a refusal by rate logs its inputs.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -3,8 +3,6 @@
 #include "ForwardedRequest.h"
 #include "HashOf.h"
 #include "HttpHeaders.h"
-#include "Logger.h"
-#include "RequestObserver.h"
 #include "SteadyTime.h"
 #include "TargetExchange.h"
 
@@ -39,9 +37,6 @@
 /// room for connections and answers.
 constexpr uint64_t kBodyMemoryParts = 8;
 constexpr uint64_t kAssumedChunkedBytes = 256 * 1024;
-/// Log lines on requests in a second; one instance serves about a hundred
-/// requests a second on the busiest days.
-constexpr unsigned kMostLinesPerSecond = 400;
 /// Bodies from this size on are expensive to carry between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
@@ -98,7 +93,6 @@
             [this](HttpConnection& aConnection) { return Handle(aConnection); })
   , mPool(aExecutor, PoolOptions())
   , mBodyMemory(aState.mSettings.mMemoryBytes / kBodyMemoryParts)
-  , mLineLimit(kMostLinesPerSecond)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
 {
 }
@@ -119,14 +113,6 @@
                       .mIdleTimeout = limits.mHeaderTimeout });
 }
 
-void GatewayFrontend::LogSuppressed()
-{
-  const uint64_t n = mLineLimit.TakeSuppressed();
-  if (n > 0) {
-    Log(LogLevel::Warn, "request_lines_left_out", { { "count", n } });
-  }
-}
-
 void GatewayFrontend::DropConnections(const RegisteredTarget& aTarget)
 {
   ErrorCode ec;
@@ -348,21 +334,14 @@
                                   double aLoadWhenSent)
 {
   const TimePoint now = SteadyNow();
-  const std::string result(aAnswer.mFailure ? Name(*aAnswer.mFailure)
-                                            : "answered");
-  ++mAttempts[result];
-  if (aAnswer.mFailure && mLineLimit.Allow(now)) {
-    Log(LogLevel::Info,
-        "attempt_failed",
-        { { "id", aRequest.mId },
-          { "target", aTarget.Record().mName.Text() },
-          { "result", result },
-          { "sent", aAnswer.mBytesSent },
-          { "load", aLoadWhenSent },
-          { "failures", aTarget.ConsecutiveFailures() },
-          { "ms", int64_t(ToSeconds(aLatency) * 1000) },
-          { "detail", aAnswer.mDetail } });
-  }
+  mLog.OnAttempt(aRequest,
+                 aTarget,
+                 { .mFailure = aAnswer.mFailure,
+                   .mBytesSent = aAnswer.mBytesSent,
+                   .mLoadWhenSent = aLoadWhenSent,
+                   .mLatency = aLatency,
+                   .mDetail = aAnswer.mDetail },
+                 now);
   if (!aAnswer.mFailure || *aAnswer.mFailure == AttemptFailure::Shed) {
     const auto load = mState.mPlatform.ReadLoad(
       View(aAnswer.mHeader[mState.mPlatform.Fields().mLoad]));
@@ -543,29 +522,11 @@
                              ResultCode aCode,
                              std::string_view aDetail)
 {
-  const TimePoint now = SteadyNow();
-  const Duration latency = now - aRequest.mReceivedAt;
-  mMetrics.OnRequest(aRequest.mService, aCode, latency);
-  if (!mLineLimit.Allow(now)) {
-    return;
-  }
-  Log(LogLevel::Info,
-      "request",
-      { { "id", aRequest.mId },
-        { "route", aRequest.mRule ? aRequest.mRule->mName : std::string() },
-        { "workspace",
-          aRequest.mWorkspace ? aRequest.mWorkspace->mName.Text()
-                              : std::string() },
-        { "service", aRequest.mService.Text() },
-        { "object", aRequest.mObject },
-        { "target",
-          aRequest.mTried.empty() ? std::string()
-                                  : aRequest.mTried.back().Text() },
-        { "attempts", aRequest.mTried.size() },
-        { "table", aRequest.mTable ? aRequest.mTable->Version() : 0 },
-        { "ms", int64_t(ToSeconds(latency) * 1000) },
-        { "code", Name(aCode) },
-        { "detail", aDetail } });
+  const std::string inputs =
+    aCode == ResultCode::RateExceeded && aRequest.mWorkspace
+      ? mState.mQuota.Explain(aRequest.mWorkspace->mName)
+      : std::string();
+  mLog.OnEnd(aRequest, aCode, aDetail, inputs, SteadyNow());
 }
 
 } // namespace pollenway
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -6,10 +6,9 @@
 #include "GatewaySettings.h"
 #include "HttpClientPool.h"
 #include "HttpServer.h"
-#include "LineLimit.h"
-#include "MetricsRegistry.h"
 #include "PlacementPlan.h"
 #include "PlatformAdapter.h"
+#include "RequestLog.h"
 #include "RetryBudget.h"
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
@@ -51,16 +50,13 @@
   void SetTable(std::shared_ptr<const RoutingTable> aTable);
   /// Number of instances that share the retry budget.
   void SetInstanceCount(size_t aCount);
-  /// Logs how many lines on requests were left out.
-  void LogSuppressed();
   /// Closes the idle connections to a target that is gone.
   void DropConnections(const RegisteredTarget& aTarget);
 
   HttpServer& Server() { return mServer; }
   const HttpServer& Server() const { return mServer; }
-  const MetricsRegistry& Metrics() const { return mMetrics; }
-  /// Attempts at targets by result.
-  const std::map<std::string, uint64_t>& Attempts() const { return mAttempts; }
+  RequestLog& Requests() { return mLog; }
+  const RequestLog& Requests() const { return mLog; }
 
 private:
   Awaitable<void> Handle(HttpConnection& aConnection);
@@ -104,11 +100,9 @@
   HttpServer mServer;
   HttpClientPool mPool;
   ByteBudget mBodyMemory;
-  LineLimit mLineLimit;
+  RequestLog mLog;
   TargetRanking mRanking;
   WeightedSplitter mSplitter;
-  MetricsRegistry mMetrics;
-  std::map<std::string, uint64_t> mAttempts;
   std::map<ServiceName, RetryBudget> mBudgets;
   std::shared_ptr<const RoutingTable> mTable;
   size_t mInstanceCount = 1;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -206,7 +206,7 @@
   mFrontend.SetInstanceCount(mInstances.CountKnown() + 1);
   mSummaries.Send();
   LogPeerChanges(now);
-  mFrontend.LogSuppressed();
+  mFrontend.Requests().LogSuppressed();
   FlushLogs();
 }
 
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -100,10 +100,10 @@
 {
   const TimePoint now = SteadyNow();
   MetricsWriter writer;
-  mSources.mFrontend.Metrics().WriteTo(writer);
+  mSources.mFrontend.Requests().Metrics().WriteTo(writer);
   writer.Begin(
     "pollenway_attempts_total", "counter", "Attempts at targets by result.");
-  for (const auto& [result, count] : mSources.mFrontend.Attempts()) {
+  for (const auto& [result, count] : mSources.mFrontend.Requests().Attempts()) {
     writer.Sample({ { "result", result } }, count);
   }
   writer.Begin("pollenway_targets", "gauge", "Targets that may get requests.");
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -39,7 +39,9 @@
     mStream.expires_after(mLimits.mKeepAliveTimeout);
     const size_t n =
       co_await mStream.async_read_some(mBuffer.prepare(4096), Into(ec));
-    if (ec) {
+    // Bytes that were read before the connection was closed as an idle one: its
+    // caller will take the request for unread and send it again.
+    if (ec || mAborted) {
       co_return false;
     }
     mBuffer.commit(n);
@@ -282,6 +284,7 @@
 void HttpConnection::Abort()
 {
   ErrorCode ec;
+  mAborted = true;
   mStream.socket().close(ec);
 }
 
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -94,6 +94,7 @@
   bool mAnswered = false;
   bool mChunked = false;
   bool mIdle = true;
+  bool mAborted = false;
   bool mCloseAfterAnswer = false;
 };
 
--- /dev/null
+++ b/src/RequestLog.cpp
@@ -0,0 +1,85 @@
+#include "RequestLog.h"
+
+#include "ForwardedRequest.h"
+#include "Logger.h"
+#include "RequestObserver.h"
+#include "TargetState.h"
+
+namespace pollenway {
+
+namespace {
+
+/// One instance serves about a hundred requests a second on the busiest days.
+constexpr unsigned kMostLinesPerSecond = 400;
+
+} // namespace
+
+RequestLog::RequestLog()
+  : mLineLimit(kMostLinesPerSecond)
+{
+}
+
+void RequestLog::OnAttempt(const ForwardedRequest& aRequest,
+                           const TargetState& aTarget,
+                           const Attempt& aAttempt,
+                           TimePoint aNow)
+{
+  const std::string result(aAttempt.mFailure ? Name(*aAttempt.mFailure)
+                                             : "answered");
+  ++mAttempts[result];
+  if (!aAttempt.mFailure || !mLineLimit.Allow(aNow)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "attempt_failed",
+      { { "id", aRequest.mId },
+        { "target", aTarget.Record().mName.Text() },
+        { "result", result },
+        { "sent", int(aAttempt.mBytesSent) },
+        { "load", int64_t(aAttempt.mLoadWhenSent) },
+        { "slots", aTarget.Record().mSlots },
+        { "failures", aTarget.ConsecutiveFailures() },
+        { "ms", int64_t(ToSeconds(aAttempt.mLatency) * 1000) },
+        { "detail", aAttempt.mDetail } });
+}
+
+void RequestLog::OnEnd(const ForwardedRequest& aRequest,
+                       ResultCode aCode,
+                       std::string_view aDetail,
+                       std::string_view aInputs,
+                       TimePoint aNow)
+{
+  const Duration latency = aNow - aRequest.mReceivedAt;
+  mMetrics.OnRequest(aRequest.mService, aCode, latency);
+  if (!mLineLimit.Allow(aNow)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "request",
+      { { "id", aRequest.mId },
+        { "route", aRequest.mRule ? aRequest.mRule->mName : std::string() },
+        { "workspace",
+          aRequest.mWorkspace ? aRequest.mWorkspace->mName.Text()
+                              : std::string() },
+        { "service", aRequest.mService.Text() },
+        { "object", aRequest.mObject },
+        { "target",
+          aRequest.mTried.empty() ? std::string()
+                                  : aRequest.mTried.back().Text() },
+        { "attempts", aRequest.mTried.size() },
+        { "table", aRequest.mTable ? aRequest.mTable->Version() : 0 },
+        { "ms", int64_t(ToSeconds(latency) * 1000) },
+        { "code", Name(aCode) },
+        { "detail", aDetail },
+        { "inputs", aInputs } });
+}
+
+void RequestLog::LogSuppressed()
+{
+  const uint64_t n = mLineLimit.TakeSuppressed();
+  if (n > 0) {
+    Log(LogLevel::Warn, "request_lines_left_out", { { "count", n } });
+  }
+}
+
+} // namespace pollenway
--- a/src/WorkspaceQuota.cpp
+++ b/src/WorkspaceQuota.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 
 namespace pollenway {
 
@@ -263,6 +264,27 @@
   }
 }
 
+std::string WorkspaceQuota::Explain(const WorkspaceName& aWorkspace) const
+{
+  const auto it = mAccounts.find(aWorkspace);
+  if (it == mAccounts.end()) {
+    return {};
+  }
+  const auto& account = it->second;
+  char buf[160];
+  std::snprintf(buf,
+                sizeof(buf),
+                "rate:%.0f,level:%.1f,share:%.3f,demand:%.1f,others:%.1f,"
+                "instances:%zu",
+                account.mRate,
+                account.mLevel,
+                account.mShare,
+                account.mDemand,
+                account.mDemandOfOthers,
+                mKnownInstances);
+  return buf;
+}
+
 nlohmann::json WorkspaceQuota::State() const
 {
   nlohmann::json out = nlohmann::json::array();
--- a/src/WorkspaceQuota.h
+++ b/src/WorkspaceQuota.h
@@ -70,6 +70,8 @@
   /// Time until the next request of the workspace is likely to be admitted.
   Duration TimeUntilAdmitted(const WorkspaceName& aWorkspace) const;
 
+  /// What the last refusal of a workspace was decided by, for the log.
+  std::string Explain(const WorkspaceName& aWorkspace) const;
   /// One entry for each workspace with a rate, for the state dump.
   nlohmann::json State() const;
 
