--- a/src/CrashLedger.cpp
+++ b/src/CrashLedger.cpp
@@ -18,8 +18,8 @@
 {
   const auto own = mOwn.find(aRequest);
   unsigned count = own == mOwn.end() ? 0 : own->second.mCount;
-  for (const auto& [instance, counts] : mReports) {
-    for (const auto& it : counts) {
+  for (const auto& [instance, report] : mReports) {
+    for (const auto& it : report.mCounts) {
       count += it.mRequest == aRequest ? it.mCount : 0;
     }
   }
@@ -42,12 +42,13 @@
 }
 
 void CrashLedger::OnReport(const InstanceName& aInstance,
-                           const std::vector<CrashCount>& aCounts)
+                           const std::vector<CrashCount>& aCounts,
+                           TimePoint aNow)
 {
   if (aCounts.empty()) {
     mReports.erase(aInstance);
   } else {
-    mReports[aInstance] = aCounts;
+    mReports[aInstance] = { aCounts, aNow };
   }
 }
 
@@ -56,6 +57,9 @@
   std::erase_if(mOwn, [&](const auto& aEntry) {
     return aNow - aEntry.second.mLast > kForgottenAfter;
   });
+  std::erase_if(mReports, [&](const auto& aEntry) {
+    return aNow - aEntry.second.mAt > kForgottenAfter;
+  });
   std::vector<std::pair<TimePoint, CrashCount>> latest;
   for (const auto& [request, own] : mOwn) {
     latest.push_back({ own.mLast, { request, own.mCount } });
--- a/src/CrashLedger.h
+++ b/src/CrashLedger.h
@@ -25,12 +25,13 @@
   /// Its target's connection ended while it ran.
   void OnBreak(RequestFingerprint aRequest, TimePoint aNow);
   void OnAnswer(RequestFingerprint aRequest);
-  /// What another instance counts now; replaces what it said before.
+  /// What another instance counts now; replaces what it said before, and is
+  /// forgotten like own counts if it says nothing more.
   void OnReport(const InstanceName& aInstance,
-                const std::vector<CrashCount>& aCounts);
+                const std::vector<CrashCount>& aCounts,
+                TimePoint aNow);
   /// Own counts for the next report, those of the latest breaks.
   std::vector<CrashCount> Report(TimePoint aNow);
-  void Forget(const InstanceName& aInstance) { mReports.erase(aInstance); }
 
 private:
   struct Own
@@ -39,8 +40,14 @@
     TimePoint mLast{};
   };
 
+  struct PeerReport
+  {
+    std::vector<CrashCount> mCounts;
+    TimePoint mAt{};
+  };
+
   std::map<RequestFingerprint, Own> mOwn;
-  std::map<InstanceName, std::vector<CrashCount>> mReports;
+  std::map<InstanceName, PeerReport> mReports;
 };
 
 } // namespace pollenway
--- /dev/null
+++ b/src/FeedRelay.cpp
@@ -0,0 +1,103 @@
+#include "FeedRelay.h"
+
+#include "SteadyTime.h"
+
+namespace pollenway {
+
+namespace {
+
+/// Longest wait that a request may ask for.
+constexpr Duration kMostWait = std::chrono::seconds(10);
+/// A store that is lost for less than this time may only have cut a watch. The
+/// others are not sent there for that.
+constexpr Duration kLostPatience = std::chrono::milliseconds(700);
+/// Objects beyond this don't fit a frame with its envelope; the others then
+/// read the store themselves.
+constexpr size_t kMostBytes = kMaxPeerFrame - 64 * 1024;
+
+peer::ObjectsRead Limited(peer::ObjectsRead aRead)
+{
+  size_t bytes = 0;
+  for (const auto& it : aRead.mRecords) {
+    bytes += it.mName.size() + (it.mValue ? it.mValue->size() : 0) + 16;
+  }
+  return bytes <= kMostBytes ? std::move(aRead) : peer::ObjectsRead();
+}
+
+bool IsLostForLong(const StateFeed& aFeed)
+{
+  return aFeed.IsLost() && SteadyNow() - aFeed.LostAt() >= kLostPatience;
+}
+
+} // namespace
+
+FeedRelay::FeedRelay(asio::any_io_executor aExecutor, IsReading aIsReading)
+  : mExecutor(aExecutor)
+  , mIsReading(std::move(aIsReading))
+{
+}
+
+void FeedRelay::Add(const std::string& aKind, StateFeed& aFeed)
+{
+  mFeeds[aKind] = &aFeed;
+  aFeed.OnAdvanced([this] { WakeAll(); });
+}
+
+void FeedRelay::WakeAll()
+{
+  for (auto* it : mWaiting) {
+    it->cancel();
+  }
+}
+
+peer::ObjectsRead FeedRelay::Read(const peer::ReadObjects& aRequest) const
+{
+  peer::ObjectsRead out;
+  const auto it = mFeeds.find(aRequest.mKind);
+  if (it == mFeeds.end() || !mIsReading(aRequest.mKind) ||
+      !it->second->HasListing() || IsLostForLong(*it->second)) {
+    return out;
+  }
+  const auto& history = it->second->History();
+  out.mAnswer = FeedAnswer::Objects;
+  if (aRequest.mIsListing) {
+    const auto listing = history.Listing();
+    out.mRevision = listing.mRevision;
+    for (const auto& object : listing.mObjects) {
+      out.mRecords.push_back({ object.mName, object.mVersion, object.mValue });
+    }
+    return Limited(std::move(out));
+  }
+  const auto changes = history.Since(aRequest.mAfter);
+  if (!changes) {
+    out.mAnswer = FeedAnswer::HistoryGone;
+    return out;
+  }
+  out.mRevision = changes->mRevision;
+  for (const auto& change : changes->mChanges) {
+    out.mRecords.push_back({ change.mName, change.mVersion, change.mValue });
+  }
+  return Limited(std::move(out));
+}
+
+Awaitable<peer::ObjectsRead> FeedRelay::Answer(peer::ReadObjects aRequest)
+{
+  const TimePoint until = SteadyNow() + std::min(aRequest.mWait, kMostWait);
+  for (;;) {
+    auto read = Read(aRequest);
+    if (read.mAnswer != FeedAnswer::Objects || !read.mRecords.empty() ||
+        aRequest.mIsListing || SteadyNow() >= until) {
+      co_return read;
+    }
+    const bool isLost = mFeeds.at(aRequest.mKind)->IsLost();
+    const Duration left = until - SteadyNow();
+    asio::steady_timer timer(mExecutor,
+                             isLost ? std::min(left, kLostPatience) : left);
+    mWaiting.insert(&timer);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+    mWaiting.erase(&timer);
+  }
+}
+
+} // namespace pollenway
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -15,10 +15,12 @@
 /// A connection attempt to a target takes a round trip of at most 110 ms
 /// between regions; a longer wait means that the target is gone.
 constexpr Duration kConnectTimeout = 400ms;
-/// Targets close idle connections after some seconds. A request that must not
-/// be repeated does not meet a connection that is about to be closed.
+/// Targets close idle connections after some seconds, and some forget them
+/// sooner without notice. A request that must not be repeated uses only a
+/// connection that has just been used: a new one costs a round trip, a reset
+/// one the request.
 constexpr Duration kMaxIdleRepeatable = 8s;
-constexpr Duration kMaxIdleUnrepeatable = 5s;
+constexpr Duration kMaxIdleUnrepeatable = 200ms;
 /// A target works until the deadline that it was given. Its answer then still
 /// has half a round trip between regions before it, and a body to carry.
 constexpr Duration kAnswerGrace = 150ms;
@@ -40,12 +42,17 @@
 /// Bodies from this size on are expensive to carry between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
-HttpClientPoolOptions PoolOptions()
+/// Part of the sockets for idle connections to targets; the others are for
+/// callers and requests in flight.
+constexpr unsigned kIdleSocketParts = 3;
+
+HttpClientPoolOptions PoolOptions(unsigned aSockets)
 {
   HttpClientPoolOptions out;
   out.mConnectTimeout = kConnectTimeout;
   out.mMaxIdle = kMaxIdleRepeatable;
   out.mMaxIdlePerEndpoint = kMaxIdlePerTarget;
+  out.mMaxIdleInTotal = aSockets / kIdleSocketParts;
   return out;
 }
 
@@ -91,7 +98,7 @@
   , mServer(aExecutor,
             HttpLimits(),
             [this](HttpConnection& aConnection) { return Handle(aConnection); })
-  , mPool(aExecutor, PoolOptions())
+  , mPool(aExecutor, PoolOptions(aState.mSettings.mMaxSockets))
   , mBodyMemory(aState.mSettings.mMemoryBytes / kBodyMemoryParts)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
 {
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -52,6 +52,8 @@
   void SetInstanceCount(size_t aCount);
   /// Closes the idle connections to a target that is gone.
   void DropConnections(const RegisteredTarget& aTarget);
+  /// Closes connections that have been idle for too long.
+  void DropIdleConnections() { mPool.DropExpired(); }
 
   HttpServer& Server() { return mServer; }
   const HttpServer& Server() const { return mServer; }
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -4,6 +4,7 @@
 #include "Logger.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
+#include "ZoneReader.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -22,12 +23,17 @@
 constexpr Duration kTickInterval = 500ms;
 /// Least time between two summaries when one is sent early.
 constexpr Duration kShortestTickInterval = 120ms;
-/// Time before the forced end in which the last connections are closed.
-constexpr Duration kStopReserve = 1200ms;
+/// Time before the forced end in which the last connections are closed. Well
+/// below a sixth of the grace, in which the operators allow for targets that
+/// are still at work, but enough for a busy process to end by itself.
+constexpr Duration kStopReserve = 500ms;
 constexpr Duration kStopPoll = 50ms;
 /// Callers keep using open connections to an instance until their look-up's
 /// answer ends, so the instance goes on serving them for this time.
 constexpr Duration kCallersMoveTime = 3s;
+/// A link to a peer with an open call and no answer for this time is replaced.
+/// Calls wait for a change for two seconds.
+constexpr Duration kPeerSilence = 3500ms;
 /// Pause between attempts to write this instance's object.
 constexpr Duration kRegisterRetry = 1s;
 
@@ -53,7 +59,7 @@
   , mPlatform(aPlatform)
   , mRun(MakeRunNumber())
   , mTargets(mSettings.mRegionOf)
-  , mInstances(mSettings.mName)
+  , mInstances(mSettings.mName, mSettings.mRegion)
   , mQuota({ .mWindow = mSettings.mBounds.mRateWindow,
              .mOverage = mSettings.mBounds.mRateOverage,
              .mSlack = mSettings.mBounds.mRateSlack },
@@ -79,9 +85,23 @@
       { mSettings.mAddress, mSettings.mPeerPort },
       { [this] { return MakeSummary(); },
         [this](const InstanceSummary& aSummary) { OnSummary(aSummary); } })
+  , mPeers(aIo.get_executor(),
+           { .mName = mSettings.mName,
+             .mIncarnation = mRun,
+             .mZone = mSettings.mZone,
+             .mAddress = mSettings.mAddress,
+             .mPeerPort = mSettings.mPeerPort },
+           [this](PeerMessage aMessage) {
+             return OnPeerMessage(std::move(aMessage));
+           })
+  , mRelayedStore(aIo.get_executor(),
+                  mStore,
+                  mPeers,
+                  [this] { return FindReader(); })
   , mConfigurationFeed(
       aIo.get_executor(),
       mStore,
+      mRelayedStore,
       FeedOptions(mPlatform.Names().mConfigurationKind),
       { [this](const StoreListing& aListing) {
          for (const auto& it : aListing.mObjects) {
@@ -99,6 +119,7 @@
   , mTargetFeed(
       aIo.get_executor(),
       mStore,
+      mRelayedStore,
       FeedOptions(mPlatform.Names().mTargetKind),
       { [this](const StoreListing& aListing) { OnTargetListing(aListing); },
         [this](const StoreChange& aChange) {
@@ -107,9 +128,14 @@
   , mEvacuationFeed(
       aIo.get_executor(),
       mStore,
+      mRelayedStore,
       FeedOptions(mPlatform.Names().mEvacuationKind),
       { [this](const StoreListing& aListing) { OnEvacuationListing(aListing); },
         [this](const StoreChange& aChange) { OnEvacuation(aChange); } })
+  , mRelay(aIo.get_executor(),
+           [this](const std::string& aKind) {
+             return mRelayedStore.IsReading(aKind);
+           })
   , mStatus(aIo.get_executor(),
             { mFrontend,
               mTargets,
@@ -121,6 +147,10 @@
               [this] { return mTable.get(); },
               [this] { return IsReady(); } })
 {
+  const auto& names = mPlatform.Names();
+  mRelay.Add(names.mConfigurationKind, mConfigurationFeed);
+  mRelay.Add(names.mTargetKind, mTargetFeed);
+  mRelay.Add(names.mEvacuationKind, mEvacuationFeed);
   mQuota.OnSurge([this] { TickSoon(); });
   mTargets.OnRemoved([this](const RegisteredTarget& aTarget) {
     mFrontend.DropConnections(aTarget);
@@ -144,6 +174,7 @@
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mDirectory.Listen());
   BOOST_OUTCOME_TRYV(mSummaries.Listen());
+  BOOST_OUTCOME_TRYV(mPeers.Listen(mSettings.mAddress, mSettings.mPeerPort));
   BOOST_OUTCOME_TRYV(mStatus.Listen(mSettings.mMetricsEndpoint.mAddress,
                                     mSettings.mMetricsEndpoint.mPort));
   for (const auto& it : mSettings.mSeedAddresses) {
@@ -169,6 +200,26 @@
          mEvacuationFeed.HasListing();
 }
 
+std::optional<IpEndpoint> GatewayServer::FindReader() const
+{
+  const auto* peer = FindZoneReader(
+    mInstances, mSettings.mName, IsReady(), mSettings.mZone, SteadyNow());
+  if (!peer) {
+    return std::nullopt;
+  }
+  return peer->mSummary.mPeer;
+}
+
+Awaitable<std::optional<PeerBody>> GatewayServer::OnPeerMessage(
+  PeerMessage aMessage)
+{
+  const auto* request = std::get_if<peer::ReadObjects>(&aMessage.mBody);
+  if (!request) {
+    co_return std::nullopt;
+  }
+  co_return co_await mRelay.Answer(*request);
+}
+
 Awaitable<void> GatewayServer::Pause(Duration aTime)
 {
   asio::steady_timer timer(mIo, aTime);
@@ -196,6 +247,7 @@
 void GatewayServer::Tick()
 {
   const TimePoint now = SteadyNow();
+  const bool isUrgent = mTickIsDue;
   mTickedAt = now;
   mTickIsDue = false;
   mInstances.Expire(now);
@@ -203,8 +255,14 @@
   mCold.SetInstances(mInstances, now);
   mWorkspaceUses = mQuota.BeginInterval(mInstances, now);
   UpdatePlan(now);
+  mFrontend.DropIdleConnections();
   mFrontend.SetInstanceCount(mInstances.CountKnown() + 1);
-  mSummaries.Send();
+  if (isUrgent) {
+    mSummaries.SendToAll();
+  } else {
+    mSummaries.Send();
+  }
+  mPeers.DropSilentLinks(kPeerSilence);
   LogPeerChanges(now);
   mFrontend.Requests().LogSuppressed();
   FlushLogs();
@@ -214,7 +272,7 @@
 {
   const TimePoint now = SteadyNow();
   mQuota.OnReport(aSummary.mName, aSummary.mRun, aSummary.mWorkspaceUses, now);
-  mCrashes.OnReport(aSummary.mName, aSummary.mCrashCounts);
+  mCrashes.OnReport(aSummary.mName, aSummary.mCrashCounts, now);
   mConfigurationFeed.ExpectVersion(aSummary.mConfigurationRevision, now);
   mTargetFeed.ExpectVersion(aSummary.mTargetRevision, now);
   mEvacuationFeed.ExpectVersion(aSummary.mEvacuationRevision, now);
@@ -286,16 +344,20 @@
   const nlohmann::json self = { { "address", mSettings.mAddress },
                                 { "port", mSettings.mPeerPort },
                                 { "zone", mSettings.mZone.Text() } };
+  // In a new deployment there is no object yet, which saves the store a call.
+  StoreCondition condition =
+    mSettings.mFirstStart ? StoreCondition::Absent() : StoreCondition();
   for (;;) {
     auto write =
-      co_await mStore.Put(kind, mSettings.mName.Text(), self.dump(), {});
+      co_await mStore.Put(kind, mSettings.mName.Text(), self.dump(), condition);
     if (write.IsDone()) {
       break;
     }
+    condition.mAbsent = false;
     co_await Pause(kRegisterRetry);
   }
   for (;;) {
-    auto listing = co_await mStore.List(kind);
+    auto listing = co_await mStore.List(kind, ReadFreshness::Current);
     if (listing) {
       OnInstanceListing(listing.value());
       co_return;
@@ -477,7 +539,7 @@
   const TimePoint limit = begin + mSettings.mBounds.mStopGrace - kStopReserve;
   const TimePoint callersMoved = std::min(begin + kCallersMoveTime, limit);
   // The others stop naming this instance when they hear of it.
-  mSummaries.Send();
+  mSummaries.SendToAll();
   mFrontend.Server().EndConnectionsAfterAnswers();
   while (SteadyNow() < callersMoved) {
     co_await Pause(kStopPoll);
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -2,13 +2,16 @@
 
 #include "ColdAdmission.h"
 #include "CrashLedger.h"
+#include "FeedRelay.h"
 #include "GatewayDirectory.h"
 #include "GatewayFrontend.h"
 #include "GatewaySettings.h"
 #include "GatewayStatus.h"
 #include "InstanceTable.h"
 #include "ObjectStore.h"
+#include "PeerTransport.h"
 #include "PlatformAdapter.h"
+#include "RelayedStore.h"
 #include "StateFeed.h"
 #include "SummaryExchange.h"
 #include "TargetTable.h"
@@ -67,6 +70,8 @@
   Duration ColdStartOf(const ServiceName& aService) const;
   InstanceSummary MakeSummary();
   StateFeed::Options FeedOptions(const std::string& aKind);
+  std::optional<IpEndpoint> FindReader() const;
+  Awaitable<std::optional<PeerBody>> OnPeerMessage(PeerMessage aMessage);
 
   asio::io_context& mIo;
   GatewaySettings mSettings;
@@ -86,9 +91,12 @@
   GatewayFrontend mFrontend;
   GatewayDirectory mDirectory;
   SummaryExchange mSummaries;
+  PeerTransport mPeers;
+  RelayedStore mRelayedStore;
   StateFeed mConfigurationFeed;
   StateFeed mTargetFeed;
   StateFeed mEvacuationFeed;
+  FeedRelay mRelay;
   GatewayStatus mStatus;
   TimePoint mTickedAt{};
   bool mTickIsDue = false;
--- a/src/GatewaySettings.h
+++ b/src/GatewaySettings.h
@@ -25,7 +25,6 @@
   /// Repeats of a service's requests allowed beyond that share in a window,
   /// over all instances.
   double mRetrySlack = 100;
-  Duration mRetryWindow = std::chrono::seconds(10);
   Duration mRateWindow = std::chrono::seconds(5);
   /// Tolerance of a workspace's requests in such a window: a share of rate and
   /// burst, and a number.
@@ -33,9 +32,6 @@
   double mRateSlack = 20;
   /// Longest time that callers may keep a look-up's answer.
   Duration mLookupTtl = std::chrono::seconds(5);
-  /// Share of a region's requests that may change their serving region
-  /// between two windows of 2 s.
-  double mRegionShift = 0.15;
 };
 
 /// Settings of one gateway instance.
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -39,7 +39,8 @@
 {
   auto& idle = mIdle[aEndpoint];
   if (!aConnection->IsReusable() ||
-      idle.size() >= mOptions.mMaxIdlePerEndpoint) {
+      idle.size() >= mOptions.mMaxIdlePerEndpoint ||
+      IdleConnections() >= mOptions.mMaxIdleInTotal) {
     return;
   }
   idle.push_back({ std::move(aConnection), std::chrono::steady_clock::now() });
@@ -50,6 +51,27 @@
   mIdle.erase(aEndpoint);
 }
 
+void HttpClientPool::DropExpired()
+{
+  const auto oldest = std::chrono::steady_clock::now() - mOptions.mMaxIdle;
+  for (auto& [endpoint, idle] : mIdle) {
+    while (!idle.empty() && idle.front().mSince <= oldest) {
+      idle.pop_front();
+    }
+  }
+  std::erase_if(mIdle,
+                [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+size_t HttpClientPool::IdleConnections() const
+{
+  size_t out = 0;
+  for (const auto& [endpoint, idle] : mIdle) {
+    out += idle.size();
+  }
+  return out;
+}
+
 Awaitable<Result<TextResponse>> HttpClientPool::Exchange(
   tcp::endpoint aEndpoint,
   TextRequest aRequest,
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -14,6 +14,8 @@
   /// Idle connections are closed after this time.
   Duration mMaxIdle = std::chrono::seconds(20);
   size_t mMaxIdlePerEndpoint = 32;
+  /// Over all endpoints; each holds a descriptor.
+  size_t mMaxIdleInTotal = 4096;
   /// Connections are made from this address if it is set.
   std::optional<asio::ip::address> mLocalAddress = std::nullopt;
 };
@@ -38,6 +40,9 @@
                std::unique_ptr<HttpClientConnection> aConnection);
   /// Closes the idle connections of an endpoint.
   void Drop(tcp::endpoint aEndpoint);
+  /// Closes the connections that have been idle for too long.
+  void DropExpired();
+  size_t IdleConnections() const;
 
   /// One whole exchange with a small answer.
   Awaitable<Result<TextResponse>> Exchange(tcp::endpoint aEndpoint,
--- a/src/InstanceTable.cpp
+++ b/src/InstanceTable.cpp
@@ -2,8 +2,18 @@
 
 namespace pollenway {
 
-InstanceTable::InstanceTable(InstanceName aSelf)
+namespace {
+
+/// Summaries come twice a second, and once a second from far instances of a
+/// large deployment.
+constexpr Duration kFresh = std::chrono::milliseconds(750);
+constexpr Duration kFarFresh = std::chrono::milliseconds(1250);
+
+} // namespace
+
+InstanceTable::InstanceTable(InstanceName aSelf, RegionName aRegion)
   : mSelf(std::move(aSelf))
+  , mRegion(std::move(aRegion))
 {
 }
 
@@ -43,12 +53,9 @@
   return out;
 }
 
-bool InstanceTable::WasHeardWithin(const InstanceName& aName,
-                                   Duration aTime,
-                                   TimePoint aNow) const
+bool InstanceTable::IsFresh(const Peer& aPeer, TimePoint aNow) const
 {
-  const auto it = mPeers.find(aName);
-  return it != mPeers.end() && aNow - it->second.mHeardAt < aTime;
+  return aNow - aPeer.mHeardAt < (IsThinned(aPeer) ? kFarFresh : kFresh);
 }
 
 } // namespace pollenway
--- a/src/InstanceTable.h
+++ b/src/InstanceTable.h
@@ -16,6 +16,15 @@
 public:
   /// Three lost summaries in a row don't make an instance silent.
   static constexpr Duration kLiveAfterSummary = std::chrono::milliseconds(2200);
+  /// The same for an instance that sends every second summary only; two lost
+  /// ones don't make it silent.
+  static constexpr Duration kFarLiveAfterSummary =
+    std::chrono::milliseconds(3200);
+  /// From this number of other instances on, each summary goes to the own
+  /// region and every second one to the others. All to all in step costs the
+  /// links between regions and the small machines the most, and the reports of
+  /// one far instance among many say little.
+  static constexpr size_t kThinnedFrom = 48;
   /// Until then a silent instance counts as one that may use its shares.
   static constexpr Duration kForgottenAfter = std::chrono::seconds(15);
 
@@ -25,27 +34,33 @@
     TimePoint mHeardAt{};
   };
 
-  explicit InstanceTable(InstanceName aSelf);
+  explicit InstanceTable(InstanceName aSelf, RegionName aRegion = {});
 
   /// True if the summary is news: a later run, or a later one of the run.
   bool OnSummary(const InstanceSummary& aSummary, TimePoint aNow);
   /// Forgets instances that have been silent for long.
   void Expire(TimePoint aNow);
 
+  /// Every second summary only is exchanged with this instance.
+  bool IsThinned(const Peer& aPeer) const
+  {
+    return mPeers.size() >= kThinnedFrom && aPeer.mSummary.mRegion != mRegion;
+  }
   bool IsLive(const Peer& aPeer, TimePoint aNow) const
   {
-    return aNow - aPeer.mHeardAt < kLiveAfterSummary;
+    return aNow - aPeer.mHeardAt <
+           (IsThinned(aPeer) ? kFarLiveAfterSummary : kLiveAfterSummary);
   }
+  /// Its last summary came in the time of one and a half of them.
+  bool IsFresh(const Peer& aPeer, TimePoint aNow) const;
   std::vector<const Peer*> Live(TimePoint aNow) const;
   const std::map<InstanceName, Peer>& All() const { return mPeers; }
   /// Other instances that are live or may still be serving while cut off.
   size_t CountKnown() const { return mPeers.size(); }
-  bool WasHeardWithin(const InstanceName& aName,
-                      Duration aTime,
-                      TimePoint aNow) const;
 
 private:
   InstanceName mSelf;
+  RegionName mRegion;
   std::map<InstanceName, Peer> mPeers;
 };
 
--- a/src/MembershipService.cpp
+++ b/src/MembershipService.cpp
@@ -386,7 +386,7 @@
     kConfigurationKind, kViewKind, "homemap", "allotment", "release"
   };
   for (const auto* kind : kKinds) {
-    auto listed = co_await mStore.List(kind);
+    auto listed = co_await mStore.List(kind, ReadFreshness::Current);
     if (!listed) {
       co_return false;
     }
@@ -423,7 +423,7 @@
     if (!revision) {
       // The revision is taken before the objects are read, so that a write
       // between the two is seen by the watch.
-      auto start = co_await mStore.List("shiftstep");
+      auto start = co_await mStore.List("shiftstep", ReadFreshness::Current);
       bool listed = false;
       if (start) {
         listed = co_await ListAll();
--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -14,6 +14,15 @@
 
 namespace pollenway {
 
+/// How current a listing has to be.
+enum class ReadFreshness
+{
+  Current,
+  /// It may be seconds old, and costs the store less. Its revision tells how
+  /// old, so that a watch from there closes the gap.
+  MayBeStale,
+};
+
 /// The platform's object API. Each call is one attempt; callers pause for
 /// `RetryPause` before they try again. Arguments are taken by value because
 /// they must outlive the coroutine's suspensions.
@@ -26,7 +35,8 @@
   virtual Awaitable<Result<StoredObject>> Get(std::string aKind,
                                               std::string aName) = 0;
   /// `StoreUnavailable` without an answer.
-  virtual Awaitable<Result<StoreListing>> List(std::string aKind) = 0;
+  virtual Awaitable<Result<StoreListing>> List(std::string aKind,
+                                               ReadFreshness aFreshness) = 0;
   /// Values are at most 1 MiB.
   virtual Awaitable<StoreWrite> Put(std::string aKind,
                                     std::string aName,
--- a/src/PeerBodies.h
+++ b/src/PeerBodies.h
@@ -2,11 +2,13 @@
 
 #include "AdmitMessage.h"
 #include "CrashReport.h"
+#include "FeedAnswer.h"
 #include "HandoverAnswer.h"
 #include "HomeMessage.h"
 #include "Ids.h"
 #include "ResultCode.h"
 #include "SteeringSummary.h"
+#include "Time.h"
 
 #include <cstdint>
 #include <optional>
@@ -170,6 +172,46 @@
   static auto Fields(auto& aSelf) { return std::tie(aSelf.mZone, aSelf.mText); }
 };
 
+/// Asks an instance that reads the store for objects of one kind.
+struct ReadObjects
+{
+  std::string mKind;
+  /// All objects; otherwise the changes after `mAfter`.
+  bool mIsListing = false;
+  uint64_t mAfter = 0;
+  /// How long to wait for a change if there is none.
+  Duration mWait{};
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mKind, aSelf.mIsListing, aSelf.mAfter, aSelf.mWait);
+  }
+};
+
+/// An object of the store, or its deletion.
+struct ObjectRecord
+{
+  std::string mName;
+  uint64_t mVersion = 0;
+  /// Empty if it was deleted.
+  std::optional<std::string> mValue;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mName, aSelf.mVersion, aSelf.mValue);
+  }
+};
+
+/// Answer to `ReadObjects`.
+struct ObjectsRead
+{
+  FeedAnswer mAnswer = FeedAnswer::NotReading;
+  uint64_t mRevision = 0;
+  std::vector<ObjectRecord> mRecords;
+  static auto Fields(auto& aSelf)
+  {
+    return std::tie(aSelf.mAnswer, aSelf.mRevision, aSelf.mRecords);
+  }
+};
+
 struct Withdrawal
 {
   KeyId mKey;
--- a/src/PeerMessage.cpp
+++ b/src/PeerMessage.cpp
@@ -35,6 +35,8 @@
   "CrashCleared",
   "FetchView",
   "View",
+  "ReadObjects",
+  "ObjectsRead",
 };
 static_assert(std::size(kKindNames) == std::variant_size_v<PeerBody>);
 
@@ -200,6 +202,10 @@
 {
   return RecordState::NotRun;
 }
+constexpr FeedAnswer HighestOf(FeedAnswer)
+{
+  return FeedAnswer::HistoryGone;
+}
 constexpr ResultCode HighestOf(ResultCode)
 {
   return ResultCode::InternalError;
--- a/src/PeerMessage.h
+++ b/src/PeerMessage.h
@@ -41,6 +41,8 @@
   CrashCleared,
   FetchView,
   View,
+  ReadObjects,
+  ObjectsRead,
 };
 
 using PeerBody = std::variant<peer::Heartbeat,
@@ -65,7 +67,9 @@
                               peer::CrashSuspect,
                               peer::CrashCleared,
                               peer::FetchView,
-                              peer::View>;
+                              peer::View,
+                              peer::ReadObjects,
+                              peer::ObjectsRead>;
 
 /// The kind's name as in the enumeration, for logs and counters.
 std::string_view Name(PeerKind aKind);
--- /dev/null
+++ b/src/RelayedStore.cpp
@@ -0,0 +1,199 @@
+#include "RelayedStore.h"
+
+#include "Logger.h"
+#include "SteadyTime.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace pollenway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// An instance hears of the others within two of their summaries. One that
+/// started to watch before would take itself for its zone's only one.
+constexpr Duration kSettleTime = 1s;
+/// Longest wait for a change at a reader. Short, so that an instance leaves a
+/// reader that no longer answers before the operators' bounds of some seconds.
+constexpr Duration kRelayWait = 2s;
+/// Time for the reader's answer beyond the wait; it is in the same zone.
+constexpr Duration kRelayTimeout = 600ms;
+/// Each run of the reader has the store's objects.
+constexpr Incarnation kAnyRun = 0;
+/// Time for which an instance reads the store itself after its reader failed.
+constexpr Duration kDirectTime = 5s;
+
+} // namespace
+
+RelayedStore::RelayedStore(asio::any_io_executor aExecutor,
+                           ObjectStore& aStore,
+                           PeerTransport& aPeers,
+                           FindReader aFindReader)
+  : mExecutor(aExecutor)
+  , mStore(aStore)
+  , mPeers(aPeers)
+  , mFindReader(std::move(aFindReader))
+  , mSettledAt(SteadyNow() + kSettleTime)
+{
+}
+
+Awaitable<void> RelayedStore::Settle()
+{
+  const Duration left = mSettledAt - SteadyNow();
+  if (left > Duration::zero()) {
+    asio::steady_timer timer(mExecutor, left);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+  }
+}
+
+std::optional<IpEndpoint> RelayedStore::ReaderOf(const std::string& aKind) const
+{
+  const auto it = mDirectUntil.find(aKind);
+  if (it != mDirectUntil.end() && SteadyNow() < it->second) {
+    return std::nullopt;
+  }
+  return mFindReader();
+}
+
+Awaitable<std::optional<peer::ObjectsRead>> RelayedStore::Ask(
+  IpEndpoint aReader,
+  peer::ReadObjects aRequest)
+{
+  const std::string kind = aRequest.mKind;
+  const Duration timeout = aRequest.mWait + kRelayTimeout;
+  auto reply =
+    co_await mPeers.Call(aReader, kAnyRun, std::move(aRequest), timeout);
+  const auto* read =
+    reply ? std::get_if<peer::ObjectsRead>(&reply.value().mBody) : nullptr;
+  if (read && read->mAnswer != FeedAnswer::NotReading) {
+    co_return *read;
+  }
+  mDirectUntil[kind] = SteadyNow() + kDirectTime;
+  Log(LogLevel::Info,
+      "reader_unavailable",
+      { { "kind", kind },
+        { "peer", aReader.mAddress },
+        { "reason",
+          !reply ? reply.error().mDetail
+          : read ? std::string("it does not read the store")
+                 : std::string("unexpected answer") } });
+  co_return std::nullopt;
+}
+
+void RelayedStore::SetReading(const std::string& aKind,
+                              bool aIsReading,
+                              std::string_view aReason)
+{
+  if (IsReading(aKind) == aIsReading) {
+    return;
+  }
+  if (aIsReading) {
+    mReading.insert(aKind);
+  } else {
+    mReading.erase(aKind);
+  }
+  Log(LogLevel::Info,
+      "feed_source",
+      { { "kind", aKind },
+        { "source", aIsReading ? "store" : "peer" },
+        { "reason", std::string(aReason) } });
+}
+
+Awaitable<Result<StoredObject>> RelayedStore::Get(std::string aKind,
+                                                  std::string aName)
+{
+  return mStore.Get(std::move(aKind), std::move(aName));
+}
+
+Awaitable<Result<StoreListing>> RelayedStore::List(std::string aKind,
+                                                   ReadFreshness aFreshness)
+{
+  const auto reader = aFreshness == ReadFreshness::Current
+                        ? ReaderOf(aKind)
+                        : std::optional<IpEndpoint>();
+  if (reader) {
+    peer::ReadObjects request;
+    request.mKind = aKind;
+    request.mIsListing = true;
+    auto read = co_await Ask(*reader, std::move(request));
+    if (read && read->mAnswer == FeedAnswer::Objects) {
+      StoreListing out;
+      out.mRevision = read->mRevision;
+      for (auto& it : read->mRecords) {
+        out.mObjects.push_back(
+          { std::move(it.mName), it.mVersion, it.mValue.value_or("") });
+      }
+      co_return out;
+    }
+  }
+  auto listing = co_await mStore.List(std::move(aKind), aFreshness);
+  co_return listing;
+}
+
+Awaitable<Result<StoreChanges>> RelayedStore::Watch(std::string aKind,
+                                                    uint64_t aAfter,
+                                                    Duration aTimeout)
+{
+  co_await Settle();
+  const auto reader = ReaderOf(aKind);
+  if (reader) {
+    peer::ReadObjects request;
+    request.mKind = aKind;
+    request.mAfter = aAfter;
+    request.mWait = std::min(aTimeout, kRelayWait);
+    SetReading(aKind, false, "the zone has a reader");
+    auto read = co_await Ask(*reader, std::move(request));
+    if (read && read->mAnswer == FeedAnswer::HistoryGone) {
+      co_return Error{ ResultCode::InvalidState,
+                       "the reader has dropped this history",
+                       aKind };
+    }
+    if (read) {
+      StoreChanges out;
+      out.mRevision = read->mRevision;
+      for (auto& it : read->mRecords) {
+        out.mChanges.push_back(
+          { aKind, std::move(it.mName), it.mVersion, std::move(it.mValue) });
+      }
+      co_return out;
+    }
+  }
+  const auto direct = mDirectUntil.find(aKind);
+  const bool isDirect = direct != mDirectUntil.end();
+  SetReading(aKind, true, isDirect ? "the reader failed" : "the zone's reader");
+  // The reader is asked again soon, so that the store's calls stay few.
+  const Duration wait = isDirect ? std::min(aTimeout, kDirectTime) : aTimeout;
+  auto changes = co_await mStore.Watch(aKind, aAfter, wait);
+  // A store that refuses this instance may still answer the reader.
+  if (!changes || (isDirect && SteadyNow() >= direct->second)) {
+    mDirectUntil.erase(aKind);
+  }
+  co_return changes;
+}
+
+Awaitable<StoreWrite> RelayedStore::Put(std::string aKind,
+                                        std::string aName,
+                                        std::string aValue,
+                                        StoreCondition aCondition)
+{
+  return mStore.Put(
+    std::move(aKind), std::move(aName), std::move(aValue), aCondition);
+}
+
+Awaitable<StoreWrite> RelayedStore::Delete(std::string aKind,
+                                           std::string aName,
+                                           StoreCondition aCondition)
+{
+  return mStore.Delete(std::move(aKind), std::move(aName), aCondition);
+}
+
+Awaitable<Result<std::vector<ListedInstance>>> RelayedStore::ListInstances()
+{
+  return mStore.ListInstances();
+}
+
+} // namespace pollenway
--- a/src/StateFeed.cpp
+++ b/src/StateFeed.cpp
@@ -21,10 +21,12 @@
 
 StateFeed::StateFeed(asio::any_io_executor aExecutor,
                      ObjectStore& aStore,
+                     ObjectStore& aSource,
                      Options aOptions,
                      Callbacks aCallbacks)
   : mExecutor(aExecutor)
   , mStore(aStore)
+  , mSource(aSource)
   , mOptions(std::move(aOptions))
   , mCallbacks(std::move(aCallbacks))
 {
@@ -42,7 +44,7 @@
   for (;;) {
     bool done = false;
     if (mNeedsListing) {
-      done = co_await List();
+      done = co_await List(mSource);
     } else {
       done = co_await Watch();
     }
@@ -54,9 +56,11 @@
   }
 }
 
-Awaitable<bool> StateFeed::List()
+Awaitable<bool> StateFeed::List(ObjectStore& aStore)
 {
-  auto listing = co_await mStore.List(mOptions.mKind);
+  auto listing = co_await aStore.List(mOptions.mKind,
+                                      mHasListing ? ReadFreshness::Current
+                                                  : ReadFreshness::MayBeStale);
   if (!listing) {
     NoteFailure(listing.error());
     co_return false;
@@ -67,15 +71,17 @@
   for (const auto& it : listing.value().mObjects) {
     mNewestVersion = std::max(mNewestVersion, it.mVersion);
   }
+  mHistory.Replace(listing.value());
   mCallbacks.mOnListing(listing.value());
   mHasListing = true;
+  NoteAdvance();
   co_return true;
 }
 
 Awaitable<bool> StateFeed::Watch()
 {
   auto changes =
-    co_await mStore.Watch(mOptions.mKind, mRevision, mOptions.mWatchTime);
+    co_await mSource.Watch(mOptions.mKind, mRevision, mOptions.mWatchTime);
   if (!changes) {
     if (changes.error().mCode == ResultCode::InvalidState) {
       Log(LogLevel::Info,
@@ -88,12 +94,18 @@
     co_return false;
   }
   NoteAnswer();
-  mRevision = std::max(mRevision, changes.value().mRevision);
+  if (changes.value().mRevision < mRevision) {
+    // A listing beside the watch has brought all of these and later ones.
+    co_return true;
+  }
+  mRevision = changes.value().mRevision;
+  mHistory.Append(changes.value());
   for (const auto& it : changes.value().mChanges) {
     mNewestVersion = std::max(mNewestVersion, it.mVersion);
     mCallbacks.mOnChange(it);
   }
   if (!changes.value().mChanges.empty()) {
+    NoteAdvance();
     co_await Pause(mOptions.mGatherTime);
   }
   co_return true;
@@ -135,7 +147,7 @@
 
 Awaitable<void> StateFeed::Refresh()
 {
-  const bool done = co_await List();
+  const bool done = co_await List(mStore);
   if (done) {
     mExpectedVersion = 0;
   }
@@ -144,6 +156,7 @@
 void StateFeed::NoteFailure(const Error& aError)
 {
   if (!mLost) {
+    mLostAt = SteadyNow();
     Log(LogLevel::Warn,
         "store_lost",
         { { "kind", mOptions.mKind },
@@ -151,6 +164,14 @@
           { "reason", aError.mDetail } });
   }
   mLost = true;
+  NoteAdvance();
+}
+
+void StateFeed::NoteAdvance()
+{
+  if (mOnAdvanced) {
+    mOnAdvanced();
+  }
 }
 
 void StateFeed::NoteAnswer()
--- a/src/StateFeed.h
+++ b/src/StateFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ObjectHistory.h"
 #include "ObjectStore.h"
 #include "Time.h"
 
@@ -12,6 +13,8 @@
 
 /// Keeps a copy of one kind of the store's objects up to date: lists it, then
 /// watches for changes. While the store does not answer, the copy stays.
+///
+/// The first listing may be stale; the watch continues from its revision.
 class StateFeed
 {
 public:
@@ -33,8 +36,11 @@
     uint64_t mSeed = 1;
   };
 
+  /// Follows the objects through `aSource`, and looks into `aStore` when the
+  /// source has gone silent. Both may be the same.
   StateFeed(asio::any_io_executor aExecutor,
             ObjectStore& aStore,
+            ObjectStore& aSource,
             Options aOptions,
             Callbacks aCallbacks);
 
@@ -42,10 +48,18 @@
   bool HasListing() const { return mHasListing; }
   /// The store's last call failed or has not ended yet.
   bool IsLost() const { return mLost; }
+  /// Since when; meaningless unless it is lost.
+  TimePoint LostAt() const { return mLostAt; }
   /// When the store answered again after its last failure; the zero time if
   /// it never failed.
   TimePoint RegainedAt() const { return mRegainedAt; }
   uint64_t Revision() const { return mRevision; }
+  const ObjectHistory& History() const { return mHistory; }
+  /// Called after each change of the history, and when the store is lost.
+  void OnAdvanced(std::function<void()> aCallback)
+  {
+    mOnAdvanced = std::move(aCallback);
+  }
   /// Version of the newest object that was seen.
   uint64_t NewestVersion() const { return mNewestVersion; }
   /// Another instance has seen the object version `aVersion`. If this feed
@@ -55,20 +69,25 @@
 
 private:
   Awaitable<void> Run();
-  Awaitable<bool> List();
+  Awaitable<bool> List(ObjectStore& aStore);
   Awaitable<void> Refresh();
   Awaitable<bool> Watch();
   Awaitable<void> Pause(Duration aTime);
   void NoteFailure(const Error& aError);
   void NoteAnswer();
+  void NoteAdvance();
 
   asio::any_io_executor mExecutor;
   ObjectStore& mStore;
+  ObjectStore& mSource;
   Options mOptions;
   Callbacks mCallbacks;
+  std::function<void()> mOnAdvanced;
+  ObjectHistory mHistory;
   bool mHasListing = false;
   bool mNeedsListing = true;
   bool mLost = false;
+  TimePoint mLostAt{};
   TimePoint mRegainedAt{};
   uint64_t mRevision = 0;
   uint64_t mNewestVersion = 0;
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -153,7 +153,8 @@
   co_return object;
 }
 
-Awaitable<Result<StoreListing>> StoreClient::List(std::string aKind)
+Awaitable<Result<StoreListing>> StoreClient::List(std::string aKind,
+                                                  ReadFreshness /*aFreshness*/)
 {
   ++mCalls.mLists;
   const std::string path = "/v1/objects/" + aKind;
--- a/src/StoreClient.h
+++ b/src/StoreClient.h
@@ -25,7 +25,8 @@
 
   Awaitable<Result<StoredObject>> Get(std::string aKind,
                                       std::string aName) override;
-  Awaitable<Result<StoreListing>> List(std::string aKind) override;
+  Awaitable<Result<StoreListing>> List(std::string aKind,
+                                       ReadFreshness aFreshness) override;
   Awaitable<StoreWrite> Put(std::string aKind,
                             std::string aName,
                             std::string aValue,
--- a/src/SummaryExchange.cpp
+++ b/src/SummaryExchange.cpp
@@ -60,6 +60,18 @@
 }
 
 void SummaryExchange::Send()
+{
+  Send(!mFarAreNext);
+  mFarAreNext = !mFarAreNext;
+}
+
+void SummaryExchange::SendToAll()
+{
+  Send(false);
+  mFarAreNext = false;
+}
+
+void SummaryExchange::Send(bool aSkipThinned)
 {
   InstanceSummary summary = mCallbacks.mMakeSummary();
   summary.mPeer = mSelf;
@@ -67,7 +79,9 @@
   std::set<IpEndpoint> receivers = mContacts;
   std::vector<IpEndpoint> known;
   for (const auto& [name, peer] : mInstances.All()) {
-    receivers.insert(peer.mSummary.mPeer);
+    if (!aSkipThinned || !mInstances.IsThinned(peer)) {
+      receivers.insert(peer.mSummary.mPeer);
+    }
     known.push_back(peer.mSummary.mPeer);
   }
   for (size_t n = 0; n < std::min(kKnownPeersPerSummary, known.size()); ++n) {
--- a/src/SummaryExchange.h
+++ b/src/SummaryExchange.h
@@ -32,14 +32,18 @@
                   Callbacks aCallbacks);
 
   Result<void> Listen();
-  /// Sends to all instances that are known or were named.
+  /// Sends to all instances that are known or were named; to far ones in a
+  /// large deployment every second time only.
   void Send();
+  /// Sends to all, as news that can't wait.
+  void SendToAll();
   /// An instance that may exist, as a seed, the store or a peer says.
   void AddContact(const IpEndpoint& aContact);
   /// True if a summary has come from an instance with this address.
   bool HasHeard(const IpEndpoint& aContact) const;
 
 private:
+  void Send(bool aSkipThinned);
   Awaitable<void> Receive();
   void SendTo(const IpEndpoint& aPeer, const std::string& aBytes);
   void HandleDatagram(std::string_view aBytes);
@@ -52,6 +56,7 @@
   /// Contacts that have not answered yet.
   std::set<IpEndpoint> mContacts;
   uint64_t mSequence = 0;
+  bool mFarAreNext = true;
   size_t mNextKnownPeer = 0;
   uint64_t mMalformed = 0;
 };
--- a/src/WorkspaceQuota.cpp
+++ b/src/WorkspaceQuota.cpp
@@ -17,9 +17,6 @@
 /// parts alone would refuse some by chance.
 constexpr double kUsedTolerance = 0.5;
 constexpr double kLeastAllowance = 2;
-/// Reports come twice a second; without one for this time an instance is not
-/// heard well.
-constexpr Duration kFreshReport = std::chrono::milliseconds(750);
 /// Growth of a share from one interval to the next. An instance that is being
 /// cut off sees its own demand rise and not that of the others.
 constexpr double kShareGrowth = 1.3;
@@ -41,6 +38,11 @@
 /// Part of the rate that is given out while the view is negative. The rest
 /// makes up for what was admitted too much.
 constexpr double kRateInDebt = 0.95;
+/// The same while the debt is more than so many seconds of the rate. Many
+/// instances together overrun the view of a small workspace by several times
+/// its burst before they hear of each other.
+constexpr double kRateInDeepDebt = 0.8;
+constexpr double kDeepDebtSeconds = 0.5;
 /// Debt beyond this many seconds of the rate is dropped.
 constexpr double kMostDebtSeconds = 3;
 /// Reports after the last change of a workspace, in case some are lost.
@@ -56,7 +58,10 @@
   const double seconds = ToSeconds(aNow - mRefilledAt);
   mLevel = std::min(mBurst, mLevel + mRate * seconds);
   mLevel = std::max(mLevel, -mRate * kMostDebtSeconds);
-  const double rate = mRate * mShare * (mLevel < 0 ? kRateInDebt : 1);
+  const double given = mLevel < -mRate * kDeepDebtSeconds ? kRateInDeepDebt
+                       : mLevel < 0                       ? kRateInDebt
+                                                          : 1;
+  const double rate = mRate * mShare * given;
   const double depth = std::max(kLeastShareDepth, rate * kShareDepthSeconds);
   mShareTokens = std::min(depth, mShareTokens + rate * seconds);
   mRefilledAt = aNow;
@@ -191,7 +196,7 @@
   out.mKnown = aInstances.CountKnown() + 1;
   size_t fresh = 1;
   for (const auto& [name, peer] : aInstances.All()) {
-    fresh += aNow - peer.mHeardAt < kFreshReport ? 1 : 0;
+    fresh += aInstances.IsFresh(peer, aNow) ? 1 : 0;
   }
   out.mFresh = double(fresh) / double(out.mKnown);
   return out;
--- a/test/PeerSamples.h
+++ b/test/PeerSamples.h
@@ -52,6 +52,9 @@
     } else if (auto* admit = std::get_if<peer::AdmitReply>(&it.mBody)) {
       admit->mReply.mTokens = 2.5;
       admit->mReply.mRetryAfter = std::chrono::milliseconds(7);
+    } else if (auto* objects = std::get_if<peer::ObjectsRead>(&it.mBody)) {
+      objects->mAnswer = FeedAnswer::Objects;
+      objects->mRecords = { { "i-1", 7, "{}" }, { "i-2", 8, std::nullopt } };
     } else if (auto* home = std::get_if<peer::Home>(&it.mBody)) {
       RecordSync sync;
       sync.mRecords = { record, record };
--- a/test/correctness/InstanceSummary.cpp
+++ b/test/correctness/InstanceSummary.cpp
@@ -103,3 +103,39 @@
   table.Expire(At(60));
   CHECK(table.CountKnown() == 0);
 }
+
+// Guards against far instances of a large deployment that count as silent
+// because they are sent every second summary only, and against the same
+// patience where all summaries are sent.
+TEST_CASE("every second summary is enough from far instances of many")
+{
+  struct Row
+  {
+    size_t mOthers;
+    const char* mRegion;
+    double mAge;
+    bool mIsFresh;
+    bool mIsLive;
+  };
+  const Row rows[] = {
+    { 10, "south", 1.0, false, true },  { 10, "south", 2.5, false, false },
+    { 60, "south", 1.0, true, true },   { 60, "south", 2.5, false, true },
+    { 60, "south", 3.5, false, false }, { 60, "north", 1.0, false, true },
+    { 60, "north", 2.5, false, false },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mOthers);
+    CAPTURE(row.mRegion);
+    CAPTURE(row.mAge);
+    InstanceTable table(InstanceName("self"), RegionName("north"));
+    for (size_t n = 0; n < row.mOthers; ++n) {
+      auto summary = SampleSummary();
+      summary.mName = InstanceName("edge-" + std::to_string(n));
+      summary.mRegion = RegionName(row.mRegion);
+      table.OnSummary(summary, At(0));
+    }
+    const auto& peer = table.All().begin()->second;
+    CHECK(table.IsFresh(peer, At(row.mAge)) == row.mIsFresh);
+    CHECK(table.IsLive(peer, At(row.mAge)) == row.mIsLive);
+  }
+}
--- a/test/correctness/WorkspaceQuota.cpp
+++ b/test/correctness/WorkspaceQuota.cpp
@@ -98,3 +98,18 @@
     CHECK(quota.Admit(WorkspaceName("unknown"), sample::At(0)));
   }
 }
+
+// Guards against a large deployment, whose far instances hear of each other
+// half as often, giving a workspace more than its rate, or refusing within it.
+TEST_CASE("the rates hold in a deployment of 120 instances")
+{
+  for (const double rate : { 40.0, 416.0 }) {
+    CAPTURE(rate);
+    QuotaFleet fleet(120, rate, rate, 7);
+    fleet.Run(20, rate / 1.6);
+    // One wrong refusal in a hundred.
+    CHECK(fleet.Refused() * 100 <= fleet.Admitted());
+    fleet.Run(10, rate * 7.5);
+    CHECK(fleet.MostInWindow(5) <= Bound(rate, rate));
+  }
+}
--- /dev/null
+++ b/test/correctness/WorkspaceQuotaMany.cpp
@@ -0,0 +1,20 @@
+#include "../QuotaFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace pollenway;
+
+// Guards against a small workspace above its rate that gets less than its due
+// where each of many instances has a request a second of it or less.
+TEST_CASE("a small workspace above its rate gets its rate at 120 instances")
+{
+  for (const double rate : { 40.0, 416.0 }) {
+    CAPTURE(rate);
+    QuotaFleet fleet(120, rate, rate, 7);
+    fleet.Run(20, rate / 1.6);
+    fleet.Run(10, rate * 7.5);
+    fleet.Forget();
+    fleet.Run(10, rate * 7.5);
+    CHECK(fleet.Admitted() >= rate * 10 * 0.85);
+  }
+}
--- a/test/platform/GatewayState.cpp
+++ b/test/platform/GatewayState.cpp
@@ -177,3 +177,30 @@
     CHECK(status == 200);
   });
 }
+
+// Guards against a stop that gives up requests before the last sixth of the
+// time that it has, in which targets may still be at work.
+TEST_CASE("a stop waits for slow targets until its time is nearly over")
+{
+  GatewayFixture fixture(1);
+  fixture.mSettings.mBounds.mStopGrace = 6s;
+  fixture.Configure();
+  fixture.SetBehaviour(
+    [&](HttpConnection&, const TargetStandIn::Seen&) -> Awaitable<bool> {
+      co_await fixture.Pause(5s);
+      co_return false;
+    });
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    auto configuration = fixture.Configuration("00000006");
+    configuration["routes"][0]["timeoutS"] = 20;
+    fixture.mStoreServer.Set("config", "main", configuration);
+    co_await fixture.Pause(1500ms);
+    fixture.mServer->Stop();
+    co_await fixture.Pause(100ms);
+    auto request = fixture.Request(http::verb::get, "/safe/1");
+    request.set("X-Deadline-Ms", "20000");
+    const auto answer = co_await fixture.Exchange(std::move(request));
+    CHECK(answer.result_int() == 200);
+  });
+}
--- /dev/null
+++ b/test/platform/RelayedStore.cpp
@@ -0,0 +1,195 @@
+#include "RelayedStore.h"
+
+#include "FeedRelay.h"
+#include "PlatformStore.h"
+#include "RunCoroutine.h"
+#include "SteadyTime.h"
+#include "StoreStandIn.h"
+
+using namespace pollenway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One instance with a feed of kind "k", its relay and its transport.
+struct Node
+{
+  Node(asio::io_context& aIo,
+       const std::string& aName,
+       uint16_t aPort,
+       tcp::endpoint aStore)
+    : mStore(aIo.get_executor(),
+             { .mEndpoint = aStore, .mRequestTimeout = 200ms })
+    , mPeers(
+        aIo.get_executor(),
+        { .mName = InstanceName(aName), .mIncarnation = 1 },
+        [this](PeerMessage aMessage) -> Awaitable<std::optional<PeerBody>> {
+          ++mAsked;
+          co_return co_await mRelay.Answer(
+            std::get<peer::ReadObjects>(aMessage.mBody));
+        })
+    , mRelayed(aIo.get_executor(), mStore, mPeers, [this] { return mReader; })
+    , mFeed(aIo.get_executor(),
+            mStore,
+            mRelayed,
+            { .mKind = "k", .mGatherTime = 20ms, .mFirstRetry = 10ms },
+            { [this](const StoreListing& aListing) {
+               ++mListings;
+               mNames.clear();
+               for (const auto& it : aListing.mObjects) {
+                 mNames.insert(it.mName);
+               }
+             },
+              [this](const StoreChange& aChange) {
+                if (aChange.mValue) {
+                  mNames.insert(aChange.mName);
+                } else {
+                  mNames.erase(aChange.mName);
+                }
+              } })
+    , mRelay(aIo.get_executor(), [this](const std::string& aKind) {
+      return mRelayed.IsReading(aKind);
+    })
+  {
+    REQUIRE(mPeers.Listen("127.0.0.1", aPort));
+    mRelay.Add("k", mFeed);
+    mFeed.Start();
+  }
+
+  PlatformStore mStore;
+  PeerTransport mPeers;
+  RelayedStore mRelayed;
+  StateFeed mFeed;
+  FeedRelay mRelay;
+  std::optional<IpEndpoint> mReader;
+  std::set<std::string> mNames;
+  int mListings = 0;
+  int mAsked = 0;
+};
+
+constexpr uint16_t kReaderPort = 18641;
+constexpr uint16_t kFollowerPort = 18642;
+
+/// A reader and a follower of it.
+struct Fixture
+{
+  Fixture()
+    : mServer(mIo.get_executor())
+  {
+    REQUIRE(mServer.Listen());
+    mServer.Set("k", "a", 1);
+    mReader.emplace(mIo, "reader", kReaderPort, mServer.Endpoint());
+    mFollower.emplace(mIo, "follower", kFollowerPort, mServer.Endpoint());
+    mFollower->mReader = IpEndpoint{ "127.0.0.1", kReaderPort };
+  }
+
+  Awaitable<void> Pause(Duration aTime)
+  {
+    asio::steady_timer timer(mIo, aTime);
+    ErrorCode ec;
+    co_await timer.async_wait(Into(ec));
+  }
+
+  uint64_t FollowerCalls() const { return mFollower->mStore.Calls().Total(); }
+
+  asio::io_context mIo;
+  StoreStandIn mServer;
+  std::optional<Node> mReader;
+  std::optional<Node> mFollower;
+};
+
+} // namespace
+
+// Guards against a call at the store for each instance and change.
+TEST_CASE("a follower learns changes from its reader and calls no store")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    co_await fixture.Pause(1300ms);
+    // Its first listing.
+    CHECK(fixture.FollowerCalls() == 1);
+    CHECK(fixture.mFollower->mNames.contains("a"));
+    fixture.mServer.Set("k", "b", 1);
+    co_await fixture.Pause(200ms);
+    CHECK(fixture.mFollower->mNames.contains("b"));
+    fixture.mServer.Erase("k", "a");
+    co_await fixture.Pause(200ms);
+    CHECK_FALSE(fixture.mFollower->mNames.contains("a"));
+    CHECK(fixture.FollowerCalls() == 1);
+    CHECK(fixture.mFollower->mFeed.Revision() ==
+          fixture.mReader->mFeed.Revision());
+    fixture.mServer.Stop();
+  });
+}
+
+// Guards against a zone that goes blind with its reader: one that is gone, one
+// that does not read the store, and one whose store refuses it.
+TEST_CASE("a follower reads the store itself when its reader can't be asked")
+{
+  struct Row
+  {
+    std::string mFault;
+    void (*mApply)(Fixture&);
+  };
+  const Row rows[] = {
+    { "gone", [](Fixture& aFixture) { aFixture.mReader->mPeers.Stop(); } },
+    { "not reading",
+      [](Fixture& aFixture) {
+        aFixture.mReader->mReader = IpEndpoint{ "127.0.0.1", kFollowerPort };
+      } },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mFault);
+    Fixture fixture;
+    RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+      co_await fixture.Pause(1300ms);
+      row.mApply(fixture);
+      // The wait at the reader, its timeout and one retry.
+      co_await fixture.Pause(3200ms);
+      fixture.mServer.Set("k", "b", 1);
+      co_await fixture.Pause(300ms);
+      CHECK(fixture.mFollower->mNames.contains("b"));
+      CHECK(fixture.mFollower->mRelayed.IsReading("k"));
+      fixture.mServer.Stop();
+    });
+  }
+}
+
+// Guards against each follower listing at the store when the store drops its
+// history, and against changes lost there.
+TEST_CASE("a gap at the reader reaches the follower as a listing")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    co_await fixture.Pause(1300ms);
+    fixture.mServer.Set("k", "b", 1);
+    fixture.mServer.Erase("k", "a");
+    fixture.mServer.DropHistory();
+    // The reader's watch is cut and retried before it finds the gap.
+    co_await fixture.Pause(900ms);
+    CHECK(fixture.mFollower->mNames == std::set<std::string>{ "b" });
+    CHECK(fixture.mFollower->mListings == 2);
+    CHECK(fixture.FollowerCalls() == 1);
+    fixture.mServer.Stop();
+  });
+}
+
+// Guards against followers that wait for a reader whose store refuses it while
+// it would serve them.
+TEST_CASE("a follower is told soon that its reader has lost the store")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    co_await fixture.Pause(1300ms);
+    fixture.mServer.mFaults.mStatus = 503;
+    // Cuts the reader's watch.
+    fixture.mServer.DropHistory();
+    co_await fixture.Pause(1200ms);
+    CHECK(fixture.mFollower->mRelayed.IsReading("k"));
+    fixture.mServer.mFaults = {};
+    fixture.mServer.Set("k", "b", 1);
+    co_await fixture.Pause(1500ms);
+    CHECK(fixture.mFollower->mNames.contains("b"));
+    fixture.mServer.Stop();
+  });
+}
--- a/test/platform/StateFeed.cpp
+++ b/test/platform/StateFeed.cpp
@@ -20,6 +20,7 @@
                    PlatformStore::Options{ .mEndpoint = mServer.Endpoint(),
                                            .mRequestTimeout = 200ms });
     mFeed.emplace(mIo.get_executor(),
+                  *mStore,
                   *mStore,
                   StateFeed::Options{ .mKind = "k", .mFirstRetry = 10ms },
                   StateFeed::Callbacks{ [this](const StoreListing& aListing) {
--- a/tools/pollenwayctl/FleetCommands.cpp
+++ b/tools/pollenwayctl/FleetCommands.cpp
@@ -124,7 +124,7 @@
       names.insert(it.mName.Text());
     }
   }
-  auto registered = co_await aStore.List("instance");
+  auto registered = co_await aStore.List("instance", ReadFreshness::Current);
   if (!registered) {
     co_return registered.error();
   }
--- a/tools/pollenwayctl/FleetView.cpp
+++ b/tools/pollenwayctl/FleetView.cpp
@@ -32,7 +32,7 @@
 
 Awaitable<Result<FleetView>> ReadFleetView(ObjectStore& aStore)
 {
-  auto views = co_await aStore.List("zoneview");
+  auto views = co_await aStore.List("zoneview", ReadFreshness::Current);
   if (!views) {
     co_return views.error();
   }
