Leave a reader whose watch has gone silent

The store was silent towards a zone's reader; its followers were in touch and stayed at version 10. StateFeed::ExpectVersion forgot the expected version at each summary of an instance that lagged as well. Ruled out: late relaying; the zones with a reader in touch had version 21 within 0.9 s of its acknowledgement. Test that failed first: RelayedStore, a follower leaves a reader that misses changes.

--- a/src/FeedRelay.cpp
+++ b/src/FeedRelay.cpp
@@ -40,7 +40,6 @@
 void FeedRelay::Add(const std::string& aKind, StateFeed& aFeed)
 {
   mFeeds[aKind] = &aFeed;
-  aFeed.OnAdvanced([this] { WakeAll(); });
 }
 
 void FeedRelay::WakeAll()
--- a/src/FeedRelay.h
+++ b/src/FeedRelay.h
@@ -28,9 +28,11 @@
   /// Waits up to the request's time for a change.
   Awaitable<peer::ObjectsRead> Answer(peer::ReadObjects aRequest);
 
+  /// A feed has advanced or was lost: answers those that wait for it.
+  void WakeAll();
+
 private:
   peer::ObjectsRead Read(const peer::ReadObjects& aRequest) const;
-  void WakeAll();
 
   asio::any_io_executor mExecutor;
   IsReading mIsReading;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -115,7 +115,8 @@
               aChange.mValue) {
             OnConfiguration(*aChange.mValue, aChange.mVersion);
           }
-        } })
+        },
+        DistrustReaderOf(mPlatform.Names().mConfigurationKind) })
   , mTargetFeed(
       aIo.get_executor(),
       mStore,
@@ -124,14 +125,16 @@
       { [this](const StoreListing& aListing) { OnTargetListing(aListing); },
         [this](const StoreChange& aChange) {
           OnTarget(aChange.mName, aChange.mValue);
-        } })
+        },
+        DistrustReaderOf(mPlatform.Names().mTargetKind) })
   , mEvacuationFeed(
       aIo.get_executor(),
       mStore,
       mRelayedStore,
       FeedOptions(mPlatform.Names().mEvacuationKind),
       { [this](const StoreListing& aListing) { OnEvacuationListing(aListing); },
-        [this](const StoreChange& aChange) { OnEvacuation(aChange); } })
+        [this](const StoreChange& aChange) { OnEvacuation(aChange); },
+        DistrustReaderOf(mPlatform.Names().mEvacuationKind) })
   , mRelay(aIo.get_executor(),
            [this](const std::string& aKind) {
              return mRelayedStore.IsReading(aKind);
@@ -148,9 +151,9 @@
               [this] { return IsReady(); } })
 {
   const auto& names = mPlatform.Names();
-  mRelay.Add(names.mConfigurationKind, mConfigurationFeed);
-  mRelay.Add(names.mTargetKind, mTargetFeed);
-  mRelay.Add(names.mEvacuationKind, mEvacuationFeed);
+  Serve(names.mConfigurationKind, mConfigurationFeed);
+  Serve(names.mTargetKind, mTargetFeed);
+  Serve(names.mEvacuationKind, mEvacuationFeed);
   mQuota.OnSurge([this] { TickSoon(); });
   mTargets.OnRemoved([this](const RegisteredTarget& aTarget) {
     mFrontend.DropConnections(aTarget);
@@ -163,6 +166,24 @@
   });
 }
 
+std::function<void()> GatewayServer::DistrustReaderOf(const std::string& aKind)
+{
+  return [this, aKind] { mRelayedStore.Distrust(aKind); };
+}
+
+void GatewayServer::Serve(const std::string& aKind, StateFeed& aFeed)
+{
+  mRelay.Add(aKind, aFeed);
+  aFeed.OnAdvanced([this, aKind] {
+    mRelay.WakeAll();
+    // Instances whose reader has gone silent learn from the others' summaries
+    // that there is news.
+    if (mRelayedStore.IsReading(aKind)) {
+      TickSoon();
+    }
+  });
+}
+
 StateFeed::Options GatewayServer::FeedOptions(const std::string& aKind)
 {
   return { .mKind = aKind,
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -71,6 +71,9 @@
   InstanceSummary MakeSummary();
   StateFeed::Options FeedOptions(const std::string& aKind);
   std::optional<IpEndpoint> FindReader() const;
+  std::function<void()> DistrustReaderOf(const std::string& aKind);
+  /// Lets the other instances of the zone follow a feed.
+  void Serve(const std::string& aKind, StateFeed& aFeed);
   Awaitable<std::optional<PeerBody>> OnPeerMessage(PeerMessage aMessage);
 
   asio::io_context& mIo;
--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -72,7 +72,7 @@
   if (read && read->mAnswer != FeedAnswer::NotReading) {
     co_return *read;
   }
-  mDirectUntil[kind] = SteadyNow() + kDirectTime;
+  Distrust(kind);
   Log(LogLevel::Info,
       "reader_unavailable",
       { { "kind", kind },
@@ -84,6 +84,11 @@
   co_return std::nullopt;
 }
 
+void RelayedStore::Distrust(const std::string& aKind)
+{
+  mDirectUntil[aKind] = SteadyNow() + kDirectTime;
+}
+
 void RelayedStore::SetReading(const std::string& aKind,
                               bool aIsReading,
                               std::string_view aReason)
--- a/src/RelayedStore.h
+++ b/src/RelayedStore.h
@@ -50,6 +50,9 @@
     return mReading.contains(aKind);
   }
 
+  /// The kind's reader has missed changes; the store is read for a while.
+  void Distrust(const std::string& aKind);
+
 private:
   std::optional<IpEndpoint> ReaderOf(const std::string& aKind) const;
   Awaitable<std::optional<peer::ObjectsRead>> Ask(IpEndpoint aReader,
--- a/src/StateFeed.cpp
+++ b/src/StateFeed.cpp
@@ -11,11 +11,12 @@
 
 namespace {
 
-/// Time in which an own watch brings what another instance has seen. A longer
-/// one would leave too little of the operators' bounds of some seconds.
-constexpr Duration kExpectedWithin = std::chrono::milliseconds(1200);
+/// Time in which an own watch brings what another instance has seen: the pauses
+/// for gathering here and at the reader, and a round trip. A longer one would
+/// leave too little of the operators' bounds of some seconds.
+constexpr Duration kExpectedWithin = std::chrono::milliseconds(800);
 /// Least time between two listings beside the watch.
-constexpr Duration kRefreshInterval = std::chrono::seconds(2);
+constexpr Duration kRefreshInterval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -120,29 +121,31 @@
 
 void StateFeed::ExpectVersion(uint64_t aVersion, TimePoint aNow)
 {
-  if (aVersion <= mNewestVersion || mNeedsListing) {
+  if (mNewestVersion >= mExpectedVersion || mNeedsListing) {
     mExpectedVersion = 0;
-    return;
   }
   if (mExpectedVersion == 0) {
-    mExpectedVersion = aVersion;
-    mExpectedSince = aNow;
+    // Reports of instances that lag as well say nothing.
+    if (aVersion > mNewestVersion && !mNeedsListing) {
+      mExpectedVersion = aVersion;
+      mExpectedSince = aNow;
+    }
     return;
   }
-  if (mNewestVersion >= mExpectedVersion) {
-    mExpectedVersion = 0;
+  if (aNow - mExpectedSince < kExpectedWithin ||
+      aNow - mRefreshedAt < kRefreshInterval) {
     return;
   }
-  if (aNow - mExpectedSince >= kExpectedWithin &&
-      aNow - mRefreshedAt >= kRefreshInterval) {
-    mRefreshedAt = aNow;
-    Log(LogLevel::Warn,
-        "watch_silent",
-        { { "kind", mOptions.mKind },
-          { "newest", mNewestVersion },
-          { "expected", mExpectedVersion } });
-    Spawn(mExecutor, Refresh());
+  mRefreshedAt = aNow;
+  Log(LogLevel::Warn,
+      "watch_silent",
+      { { "kind", mOptions.mKind },
+        { "newest", mNewestVersion },
+        { "expected", mExpectedVersion } });
+  if (mCallbacks.mOnSilent) {
+    mCallbacks.mOnSilent();
   }
+  Spawn(mExecutor, Refresh());
 }
 
 Awaitable<void> StateFeed::Refresh()
--- a/src/StateFeed.h
+++ b/src/StateFeed.h
@@ -23,6 +23,8 @@
     /// A complete listing, first and after each gap in the history.
     std::function<void(const StoreListing&)> mOnListing;
     std::function<void(const StoreChange&)> mOnChange;
+    /// The source does not bring what other instances have seen; may be empty.
+    std::function<void()> mOnSilent = {};
   };
   struct Options
   {
--- a/test/platform/RelayedStore.cpp
+++ b/test/platform/RelayedStore.cpp
@@ -46,13 +46,15 @@
                 } else {
                   mNames.erase(aChange.mName);
                 }
-              } })
+              },
+              [this] { mRelayed.Distrust("k"); } })
     , mRelay(aIo.get_executor(), [this](const std::string& aKind) {
       return mRelayed.IsReading(aKind);
     })
   {
     REQUIRE(mPeers.Listen("127.0.0.1", aPort));
     mRelay.Add("k", mFeed);
+    mFeed.OnAdvanced([this] { mRelay.WakeAll(); });
     mFeed.Start();
   }
 
@@ -193,3 +195,29 @@
     fixture.mServer.Stop();
   });
 }
+
+// Guards against a zone that stays behind its reader, whose watch hears
+// nothing although its connection to the store is open.
+TEST_CASE("a follower leaves a reader that misses changes")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    co_await fixture.Pause(1300ms);
+    fixture.mServer.mFaults.mHideEvents = true;
+    fixture.mServer.Set("k", "b", 1);
+    const uint64_t old = fixture.mFollower->mFeed.NewestVersion();
+    for (int n = 0; n < 8; ++n) {
+      // Most others lag as well.
+      fixture.mFollower->mFeed.ExpectVersion(old + 1, SteadyNow());
+      fixture.mFollower->mFeed.ExpectVersion(old, SteadyNow());
+      co_await fixture.Pause(150ms);
+    }
+    CHECK(fixture.mFollower->mNames.contains("b"));
+    fixture.mServer.mFaults = {};
+    fixture.mServer.Set("k", "c", 1);
+    co_await fixture.Pause(2500ms);
+    CHECK(fixture.mFollower->mNames.contains("c"));
+    CHECK(fixture.mFollower->mRelayed.IsReading("k"));
+    fixture.mServer.Stop();
+  });
+}
