--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -59,7 +59,7 @@
   , mPlatform(aPlatform)
   , mRun(MakeRunNumber())
   , mTargets(mSettings.mRegionOf)
-  , mInstances(mSettings.mName, mSettings.mRegion)
+  , mInstances(mSettings.mName, mSettings.mZone)
   , mQuota({ .mWindow = mSettings.mBounds.mRateWindow,
              .mOverage = mSettings.mBounds.mRateOverage,
              .mSlack = mSettings.mBounds.mRateSlack },
--- a/src/InstanceTable.cpp
+++ b/src/InstanceTable.cpp
@@ -11,9 +11,9 @@
 
 } // namespace
 
-InstanceTable::InstanceTable(InstanceName aSelf, RegionName aRegion)
+InstanceTable::InstanceTable(InstanceName aSelf, ZoneName aZone)
   : mSelf(std::move(aSelf))
-  , mRegion(std::move(aRegion))
+  , mZone(std::move(aZone))
 {
 }
 
--- a/src/InstanceTable.h
+++ b/src/InstanceTable.h
@@ -21,8 +21,8 @@
   static constexpr Duration kFarLiveAfterSummary =
     std::chrono::milliseconds(3200);
   /// From this number of other instances on, each summary goes to the own
-  /// region and every second one to the others. All to all in step costs the
-  /// links between regions and the small machines the most, and the reports of
+  /// zone and every second one to the others. All to all in step costs the
+  /// links between zones and the small machines the most, and the reports of
   /// one far instance among many say little.
   static constexpr size_t kThinnedFrom = 48;
   /// Until then a silent instance counts as one that may use its shares.
@@ -34,7 +34,7 @@
     TimePoint mHeardAt{};
   };
 
-  explicit InstanceTable(InstanceName aSelf, RegionName aRegion = {});
+  explicit InstanceTable(InstanceName aSelf, ZoneName aZone = {});
 
   /// True if the summary is news: a later run, or a later one of the run.
   bool OnSummary(const InstanceSummary& aSummary, TimePoint aNow);
@@ -44,7 +44,7 @@
   /// Every second summary only is exchanged with this instance.
   bool IsThinned(const Peer& aPeer) const
   {
-    return mPeers.size() >= kThinnedFrom && aPeer.mSummary.mRegion != mRegion;
+    return mPeers.size() >= kThinnedFrom && aPeer.mSummary.mZone != mZone;
   }
   bool IsLive(const Peer& aPeer, TimePoint aNow) const
   {
@@ -60,7 +60,7 @@
 
 private:
   InstanceName mSelf;
-  RegionName mRegion;
+  ZoneName mZone;
   std::map<InstanceName, Peer> mPeers;
 };
 
--- a/src/SummaryExchange.cpp
+++ b/src/SummaryExchange.cpp
@@ -18,6 +18,9 @@
 /// Addresses of other instances in one summary: enough for a newcomer to know
 /// a hundred instances within seconds, few enough to keep datagrams small.
 constexpr size_t kKnownPeersPerSummary = 4;
+/// In a large deployment every so many summaries name others: a newcomer then
+/// hears from many instances.
+constexpr uint64_t kNamingInterval = 4;
 /// Unanswered contacts kept at most; more are stale entries of the store.
 constexpr size_t kMostContacts = 512;
 
@@ -84,7 +87,11 @@
     }
     known.push_back(peer.mSummary.mPeer);
   }
-  for (size_t n = 0; n < std::min(kKnownPeersPerSummary, known.size()); ++n) {
+  const bool isLarge = known.size() >= InstanceTable::kThinnedFrom;
+  const bool namesPeers = !isLarge || mSequence % kNamingInterval == 0;
+  const size_t named =
+    namesPeers ? std::min(kKnownPeersPerSummary, known.size()) : 0;
+  for (size_t n = 0; n < named; ++n) {
     summary.mKnownPeers.push_back(known[mNextKnownPeer++ % known.size()]);
   }
   const std::string bytes = EncodeSummary(summary);
--- a/test/QuotaFleet.h
+++ b/test/QuotaFleet.h
@@ -12,7 +12,7 @@
 
 namespace pollenway {
 
-/// Instances in three regions that share one workspace's rate and report to
+/// Instances in three zones that share one workspace's rate and report to
 /// each other with a delay, on a simulated clock. Many of them send far ones
 /// every second report only, as the running program does.
 class QuotaFleet
@@ -100,8 +100,8 @@
   {
     Instance(size_t aIndex, bool aFirstStart)
       : mName("i" + std::to_string(aIndex))
-      , mRegion("r" + std::to_string(aIndex % 3))
-      , mTable(mName, mRegion)
+      , mZone("z" + std::to_string(aIndex % 3))
+      , mTable(mName, mZone)
       , mQuota({}, aFirstStart)
     {
       mQuota.OnSurge([this] {
@@ -111,7 +111,7 @@
     }
 
     InstanceName mName;
-    RegionName mRegion;
+    ZoneName mZone;
     InstanceTable mTable;
     WorkspaceQuota mQuota;
     uint64_t mRun = 1;
@@ -143,7 +143,7 @@
       it.mNextReport = mTime + kInterval;
       InstanceSummary summary;
       summary.mName = it.mName;
-      summary.mRegion = it.mRegion;
+      summary.mZone = it.mZone;
       summary.mRun = it.mRun;
       summary.mSequence = ++it.mSequence;
       summary.mWorkspaceUses = it.mQuota.BeginInterval(it.mTable, Now());
@@ -167,7 +167,7 @@
     for (size_t n = 0; n < mInstances.size(); ++n) {
       auto& it = *mInstances[n];
       const bool isFar = mInstances.size() > InstanceTable::kThinnedFrom &&
-                         it.mRegion != mInstances[aMessage.mFrom]->mRegion;
+                         it.mZone != mInstances[aMessage.mFrom]->mZone;
       if (n != aMessage.mFrom && !it.mIsCut && (aMessage.mIsForFar || !isFar) &&
           it.mTable.OnSummary(aMessage.mSummary, Now())) {
         it.mQuota.OnReport(aMessage.mSummary.mName,
--- a/test/correctness/InstanceSummary.cpp
+++ b/test/correctness/InstanceSummary.cpp
@@ -112,7 +112,7 @@
   struct Row
   {
     size_t mOthers;
-    const char* mRegion;
+    const char* mZone;
     double mAge;
     bool mIsFresh;
     bool mIsLive;
@@ -125,13 +125,13 @@
   };
   for (const auto& row : rows) {
     CAPTURE(row.mOthers);
-    CAPTURE(row.mRegion);
+    CAPTURE(row.mZone);
     CAPTURE(row.mAge);
-    InstanceTable table(InstanceName("self"), RegionName("north"));
+    InstanceTable table(InstanceName("self"), ZoneName("north"));
     for (size_t n = 0; n < row.mOthers; ++n) {
       auto summary = SampleSummary();
       summary.mName = InstanceName("edge-" + std::to_string(n));
-      summary.mRegion = RegionName(row.mRegion);
+      summary.mZone = ZoneName(row.mZone);
       table.OnSummary(summary, At(0));
     }
     const auto& peer = table.All().begin()->second;
--- /dev/null
+++ b/test/soak/fleet.py
@@ -0,0 +1,207 @@
+"""The deployment under test: gateways as processes, the rest as stand-ins."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import time
+
+from loopback_proxy import LoopbackProxy
+from standins import Store, Target, start_server
+
+ZONES = {"akl-a": "akl", "akl-b": "akl", "wlg-a": "wlg"}
+GATEWAYS_PER_ZONE = 2
+TARGETS_PER_ZONE = 2
+HOST = "soak.example"
+RATE_PER_S = 20
+BURST = 20
+GRACE_S = 6.0
+PORTS = {"front": 8389, "ready": 8384, "directory": 8385}
+
+
+class Gateway:
+    """One gateway process on a loopback address of its own."""
+
+    def __init__(self, fleet, name, zone, ip, store_proxy):
+        self.fleet, self.name, self.zone, self.ip = fleet, name, zone, ip
+        self.store_proxy = store_proxy
+        self.process = None
+        self.log = open(os.path.join(fleet.folder, name + ".log"), "ab")
+        self.is_paused = False
+        # Until then nothing with a time bound is asked of it.
+        self.disturbed_until = 0.0
+        # Until then requests in flight must be finished: a planned stop.
+        self.stopping_since = None
+        self.exits_of_its_own = 0
+
+    def front(self):
+        return f"{self.ip}:{PORTS['front']}"
+
+    def settings(self, is_first):
+        return {
+            "nodeName": self.name,
+            "role": "gateway",
+            "ip": self.ip,
+            "zone": self.zone,
+            "region": ZONES[self.zone],
+            "zones": ZONES,
+            "internalPorts": [7460, 7475],
+            "seeds": [f"{it.ip}:8383" for it in self.fleet.gateways[:3]],
+            "bootstrap": is_first,
+            "listen": {k: f"{self.ip}:{v}" for k, v in PORTS.items()},
+            "limits": {"memoryMb": 182, "maxFds": 2870},
+            "bounds": {"graceS": GRACE_S, "retryBudgetSlack": 100},
+            "provider": {"address": "%s:%d" % self.store_proxy.address},
+        }
+
+    def start(self, is_first=False):
+        path = os.path.join(self.fleet.folder, self.name + ".json")
+        with open(path, "w", encoding="utf-8") as out:
+            json.dump(self.settings(is_first), out)
+        program = os.path.join(self.fleet.build, "pollenway-gateway")
+        self.process = subprocess.Popen(
+            [program, "--settings=" + path], stdout=self.log, stderr=self.log
+        )
+        self.is_paused = False
+        self.stopping_since = None
+        self.disturb(1.0)
+
+    def disturb(self, seconds):
+        """A fault of the machine for `seconds`, and the time after it in which
+        the operators' pages ask nothing with a time bound of it."""
+        until = time.monotonic() + seconds + self.fleet.CONTACT_S
+        self.disturbed_until = max(self.disturbed_until, until)
+
+    def is_in_touch(self, since=None):
+        return (since or time.monotonic()) >= self.disturbed_until
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+    async def stop_gracefully(self):
+        """SIGTERM, and SIGKILL when the grace is over. Returns whether it ended
+        by itself."""
+        self.stopping_since = time.monotonic()
+        self.disturb(GRACE_S)
+        self.send(signal.SIGTERM)
+        while self.is_running() and time.monotonic() < self.stopping_since + GRACE_S:
+            await asyncio.sleep(0.05)
+        ended = not self.is_running()
+        self.kill()
+        return ended
+
+    def kill(self):
+        if self.is_running():
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+
+
+class Fleet:
+    """All programs and stand-ins of one run."""
+
+    CONTACT_S = 4.0
+
+    def __init__(self, build, folder, seed, network):
+        self.build, self.folder = build, folder
+        self.random = random.Random(seed)
+        self.network = network
+        self.store = Store()
+        self.runs = []
+        self.gateways, self.targets = [], []
+        self.target_proxies, self.target_zones = {}, {}
+        self.draining_since = {}
+        self.version = 1
+        self.routes = {"safe": "idempotent", "once": "non_idempotent"}
+        self.keys = {"dairy": ["key-dairy"], "butcher": ["key-butcher"]}
+        self._runners = []
+
+    def write_configuration(self):
+        self.version += 1
+        common = {"host": HOST, "timeoutS": 2.0, "aimS": 0.4, "service": "ledger"}
+        routes = [
+            {**common, "name": n, "pathPrefix": f"/{n}/", "type": t, "maxAttempts": 2}
+            for n, t in self.routes.items()
+        ]
+        tenants = [{"name": n, "apiKeys": k} for n, k in self.keys.items()]
+        tenants[1].update({"ratePerS": RATE_PER_S, "burst": BURST})
+        self.store.put(
+            "config",
+            "main",
+            {
+                "version": "%08x" % self.version,
+                "routes": routes,
+                "services": [{"name": "ledger", "healthPath": "/healthz"}],
+                "limits": {
+                    "maxHeaderBytes": 8192,
+                    "maxBodyBytes": 1 << 20,
+                    "headerTimeoutS": 3,
+                    "idleTimeoutS": 15,
+                },
+                "tenants": tenants,
+            },
+        )
+
+    def register(self, target, state="ready"):
+        if state == "draining":
+            self.draining_since[target.name] = time.monotonic()
+        else:
+            self.draining_since.pop(target.name, None)
+        address = self.target_proxies[target.name].address
+        self.store.put(
+            "servers",
+            target.name,
+            {
+                "service": "ledger",
+                "address": "%s:%d" % address,
+                "zone": self.target_zones[target.name],
+                "slots": 8,
+                "state": state,
+                "sequence": self.store.revision,
+            },
+        )
+
+    async def start(self):
+        runner, store_address = await start_server(self.store.handle, "127.0.0.1")
+        self._runners.append(runner)
+        number = 1
+        for zone in ZONES:
+            for _ in range(TARGETS_PER_ZONE):
+                target = Target(f"i-{zone}-{number}", self.runs)
+                target.random = self.random
+                runner, address = await start_server(target.handle, "127.0.0.1")
+                self._runners.append(runner)
+                proxy = LoopbackProxy("127.0.0.1", 0, address)
+                await proxy.start()
+                self.targets.append(target)
+                self.target_proxies[target.name] = proxy
+                self.target_zones[target.name] = zone
+                self.register(target)
+                number += 1
+        self.write_configuration()
+        for zone in ZONES:
+            for _ in range(GATEWAYS_PER_ZONE):
+                proxy = LoopbackProxy("127.0.0.1", 0, store_address)
+                await proxy.start()
+                n = len(self.gateways) + 1
+                ip = f"127.{self.network}.0.{n}"
+                self.gateways.append(Gateway(self, f"edge-{zone}-{n}", zone, ip, proxy))
+        for it in self.gateways:
+            it.start(is_first=True)
+
+    async def stop(self):
+        for it in self.gateways:
+            it.kill()
+            it.log.close()
+            await it.store_proxy.stop()
+        for it in self.target_proxies.values():
+            await it.stop()
+        for it in self._runners:
+            await it.cleanup()
--- /dev/null
+++ b/test/soak/standins.py
@@ -0,0 +1,146 @@
+"""Stand-ins of the platform's store and of targets, as HTTP servers."""
+
+import asyncio
+import json
+import time
+
+from aiohttp import web
+
+WATCH_POLL_S = 0.01
+
+
+async def start_server(handler, host, port=0):
+    """Serves all paths by one handler; returns its runner and address."""
+    app = web.Application(client_max_size=1 << 22)
+    app.router.add_route("*", "/{path:.*}", handler)
+    runner = web.AppRunner(app, access_log=None, handle_signals=False)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port, shutdown_timeout=0.1)
+    await site.start()
+    return runner, site._server.sockets[0].getsockname()
+
+
+class Store:
+    """The platform's store: lists, watches and writes of objects by kind."""
+
+    def __init__(self):
+        self.kinds = {}
+        self.history = []
+        self.revision = 10
+        self.oldest = 10
+        # Fault: status of each answer, answers of writes that are lost.
+        self.status = 0
+        self.lose_answers = False
+
+    def put(self, kind, name, spec):
+        self.revision += 1
+        item = {"metadata": {"name": name, "revision": self.revision}, "spec": spec}
+        self.kinds.setdefault(kind, {})[name] = item
+        self.history.append((self.revision, kind, {"object": item, "deleted": False}))
+
+    def delete(self, kind, name):
+        item = self.kinds.get(kind, {}).pop(name, None)
+        if item is not None:
+            self.revision += 1
+            item = {**item, "metadata": {"name": name, "revision": self.revision}}
+            self.history.append((self.revision, kind, {"object": item, "deleted": True}))
+
+    def drop_history(self):
+        self.history.clear()
+        self.oldest = self.revision
+
+    async def handle(self, request):
+        parts = request.path.strip("/").split("/")
+        body = await request.text()
+        if self.status:
+            return web.Response(status=self.status)
+        if len(parts) < 2 or parts[0] != "objects":
+            return web.Response(status=404)
+        kind, name = parts[1], parts[2] if len(parts) > 2 else None
+        if request.method == "GET":
+            if "watch" in request.query:
+                return await self._watch(request, kind)
+            return self._read(request, kind, name)
+        answer = self._write(request.method, kind, name, json.loads(body or "{}"))
+        if self.lose_answers:
+            request.transport.abort()
+        return answer
+
+    def _read(self, request, kind, name):
+        items = self.kinds.get(kind, {})
+        if name is not None:
+            found = items.get(name)
+            return web.json_response(found, status=200 if found else 404)
+        return web.json_response(
+            {
+                "items": [items[it] for it in sorted(items)],
+                "hasMore": False,
+                "storeRevision": self.revision,
+            }
+        )
+
+    async def _watch(self, request, kind):
+        after = int(request.query["watch"])
+        end = time.monotonic() + int(request.query["waitMs"]) / 1000
+        while True:
+            if self.status:
+                return web.Response(status=self.status)
+            if after < self.oldest:
+                return web.Response(status=410)
+            events = [e for r, k, e in self.history if r > after and k == kind]
+            if events or time.monotonic() >= end:
+                return web.json_response(
+                    {"events": events, "storeRevision": self.revision}
+                )
+            await asyncio.sleep(WATCH_POLL_S)
+
+    def _write(self, method, kind, name, body):
+        name = name or body["metadata"]["name"]
+        exists = name in self.kinds.get(kind, {})
+        if method == "POST" and exists:
+            return web.json_response(self.kinds[kind][name], status=409)
+        if method in ("PUT", "DELETE") and not exists:
+            return web.Response(status=404)
+        if method == "DELETE":
+            self.delete(kind, name)
+            return web.json_response({})
+        self.put(kind, name, body.get("spec"))
+        return web.json_response(self.kinds[kind][name])
+
+
+class Target:
+    """A target that records what it runs and answers with what identifies it."""
+
+    def __init__(self, name, runs, work_s=0.03):
+        self.name = name
+        # Shared by all targets: a list of (time, request id, target, headers).
+        self.runs = runs
+        self.work_s = work_s
+        self.slow_factor = 1.0
+        # Fault: what becomes of the answers of requests that were run.
+        self.lose_answers = False
+        self.truncate = False
+        self.fail_share = 0.0
+        self.random = None
+
+    async def handle(self, request):
+        body = await request.read()
+        request_id = request.headers.get("X-Request-Id", "")
+        headers = {"X-Request-Id": request_id, "X-Server-Load": "1,0,8"}
+        if request.headers.get("X-Target-Instance", self.name) != self.name:
+            return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
+        self.runs.append((time.monotonic(), request_id, self.name, dict(request.headers)))
+        await asyncio.sleep(self.work_s * self.slow_factor)
+        headers["X-Server-Signature"] = "sig-" + request_id
+        text = f"{request_id} {request.method} {request.path} {len(body)}"
+        if self.lose_answers and request.transport:
+            request.transport.abort()
+        if self.truncate and request.transport:
+            request.transport.write(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\nX-Request-Id: "
+                + request_id.encode()
+                + b"\r\nX-Server-Signature: s\r\n\r\npart"
+            )
+            request.transport.close()
+        failed = self.random is not None and self.random.random() < self.fail_share
+        return web.Response(status=500 if failed else 200, headers=headers, text=text)
