--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -57,6 +57,8 @@
         }
 
     def start(self, is_first=False):
+        if self.is_running():
+            return  # Faults overlap, and another one has started it again.
         path = os.path.join(self.fleet.folder, self.name + ".json")
         with open(path, "w", encoding="utf-8") as out:
             json.dump(self.settings(is_first), out)
