Report the age and era of each feed, and outdated configurations

Adds pollenway_feed_answer_age_seconds and pollenway_feed_era, the same with the newest version in /state, and the event configuration_outdated. No decision changes. Not measured: the metrics are fetched by operators only.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -537,6 +537,14 @@
     return;
   }
   if (mTable && parts.value().mVersion <= mTable->Version()) {
+    // Listings repeat the version in force.
+    if (parts.value().mVersion < mTable->Version()) {
+      Log(LogLevel::Warn,
+          "configuration_outdated",
+          { { "version", parts.value().mVersion },
+            { "in_force", mTable->Version() },
+            { "revision", aRevision } });
+    }
     return;
   }
   mTable = std::make_shared<const RoutingTable>(std::move(parts.value()));
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -19,11 +19,17 @@
 
 using nlohmann::json;
 
-json FeedJson(const StateFeed& aFeed)
+json FeedJson(const StateFeed& aFeed, TimePoint aNow)
 {
-  return { { "listed", aFeed.HasListing() },
-           { "lost", aFeed.IsLost() },
-           { "revision", aFeed.Revision() } };
+  json out = { { "listed", aFeed.HasListing() },
+               { "lost", aFeed.IsLost() },
+               { "era", aFeed.Position().mEra.mValue },
+               { "revision", aFeed.Revision() },
+               { "newest", aFeed.NewestVersion().mRevision } };
+  if (aFeed.AnsweredAt() != TimePoint{}) {
+    out["answer_age_s"] = ToSeconds(aNow - aFeed.AnsweredAt());
+  }
+  return out;
 }
 
 json TargetsJson(const TargetTable& aTargets, TimePoint aNow)
@@ -104,9 +110,9 @@
   return { { "ready", mSources.mIsReady() },
            { "table", table ? table->Version() : 0 },
            { "feeds",
-             { { "configuration", FeedJson(mSources.mConfigurationFeed) },
-               { "targets", FeedJson(mSources.mTargetFeed) },
-               { "evacuations", FeedJson(mSources.mEvacuationFeed) } } },
+             { { "configuration", FeedJson(mSources.mConfigurationFeed, aNow) },
+               { "targets", FeedJson(mSources.mTargetFeed, aNow) },
+               { "evacuations", FeedJson(mSources.mEvacuationFeed, aNow) } } },
            { "evacuated_zones", std::move(evacuated) },
            { "targets", TargetsJson(mSources.mTargets, aNow) },
            { "workspaces", mSources.mQuota.State() },
@@ -136,14 +142,27 @@
   writer.Begin(
     "pollenway_table_version", "gauge", "Version of the routing table.");
   writer.Sample({}, table ? table->Version() : uint64_t(0));
+  const std::pair<const char*, const StateFeed*> feeds[] = {
+    { "configuration", &mSources.mConfigurationFeed },
+    { "targets", &mSources.mTargetFeed },
+    { "evacuations", &mSources.mEvacuationFeed }
+  };
   writer.Begin("pollenway_store_lost", "gauge", "1 while the store is away.");
-  for (const auto& [kind, feed] :
-       { std::pair<const char*, const StateFeed*>{
-           "configuration", &mSources.mConfigurationFeed },
-         { "targets", &mSources.mTargetFeed },
-         { "evacuations", &mSources.mEvacuationFeed } }) {
+  for (const auto& [kind, feed] : feeds) {
     writer.Sample({ { "feed", kind } }, uint64_t(feed->IsLost() ? 1 : 0));
   }
+  writer.Begin("pollenway_feed_era", "gauge", "Era of the feed's position.");
+  for (const auto& [kind, feed] : feeds) {
+    writer.Sample({ { "feed", kind } }, feed->Position().mEra.mValue);
+  }
+  writer.Begin("pollenway_feed_answer_age_seconds",
+               "gauge",
+               "Time since the last listing or answered watch.");
+  for (const auto& [kind, feed] : feeds) {
+    if (feed->AnsweredAt() != TimePoint{}) {
+      writer.Sample({ { "feed", kind } }, ToSeconds(now - feed->AnsweredAt()));
+    }
+  }
   return writer.Text();
 }
 
--- a/src/StateFeed.cpp
+++ b/src/StateFeed.cpp
@@ -233,11 +233,12 @@
 
 void StateFeed::OnStoreAnswer()
 {
+  mAnsweredAt = SteadyNow();
   if (!mLost) {
     return;
   }
   mLost = false;
-  mRegainedAt = SteadyNow();
+  mRegainedAt = mAnsweredAt;
   Log(LogLevel::Info,
       "store_regained",
       { { "kind", mOptions.mKind }, { "revision", mPosition.mRevision } });
--- a/src/StateFeed.h
+++ b/src/StateFeed.h
@@ -64,6 +64,9 @@
   /// Returns the time at which the store answered again after its last failure,
   /// or the zero time if it never failed.
   TimePoint RegainedAt() const { return mRegainedAt; }
+  /// Returns the time of the last listing or answered watch, or the zero time
+  /// before the first one.
+  TimePoint AnsweredAt() const { return mAnsweredAt; }
   /// Returns the time of the first listing of the store's present era, or the
   /// zero time if the store has not been restored since this feed's first
   /// listing.
@@ -111,6 +114,7 @@
   bool mLost = false;
   TimePoint mLostAt{};
   TimePoint mRegainedAt{};
+  TimePoint mAnsweredAt{};
   TimePoint mRestoredAt{};
   /// Watches refused since the last one that succeeded.
   unsigned mRefusedWatches = 0;
