Test second copies of refusals on kept connections

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run that a target ran.

With the request's own id in each answer this can't happen here: a copy with an earlier id, or with none, is skipped, and one that arrives while the connection is idle makes it unusable. Ruled out: copies in two parts, during the run, and a close after the copy instead of the answer, which is reported as a request that may have run.

--- a/test/platform/TargetFaults.cpp
+++ b/test/platform/TargetFaults.cpp
@@ -2,6 +2,7 @@
 #include "RawTarget.h"
 
 #include <fstream>
+#include <map>
 
 using namespace pollenway;
 using namespace std::chrono_literals;
@@ -121,6 +122,32 @@
   }
 }
 
+/// Registers one raw target under many names, so that a failure, after which a
+/// target is not used for some time, does not end the test's requests.
+void RegisterOften(GatewayFixture& aFixture,
+                   const RawTarget& aTarget,
+                   int aNames)
+{
+  for (int n = 0; n < aNames; ++n) {
+    aFixture.mStoreServer.Set(
+      "servers",
+      "i-" + std::to_string(n),
+      { { "service", "s" },
+        { "address", "127.0.0.1:" + std::to_string(aTarget.Port()) },
+        { "zone", "z" },
+        { "slots", 4 },
+        { "state", "ready" },
+        { "sequence", 1 } });
+  }
+}
+
+std::string Refusal(const std::string& aId)
+{
+  return "HTTP/1.1 503 Service Unavailable\r\n" +
+         (aId.empty() ? std::string() : "X-Request-Id: " + aId + "\r\n") +
+         "X-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
 } // namespace
 
 // Guards against an answer without end that holds a caller, a connection or
@@ -345,3 +372,108 @@
       });
   }
 }
+
+// Guards against a caller that is told that its request has not run, or a
+// second target that runs it, because an earlier refusal arrives once more
+// where the answer is expected.
+TEST_CASE("a second copy of a refusal refuses no other request")
+{
+  enum class Arrival
+  {
+    BeforeRequest,
+    AfterRequest,
+    InTwoParts,
+    Late,
+  };
+  struct Row
+  {
+    std::string mFault;
+    Arrival mArrival;
+    bool mHasId;
+    bool mIsAnswered;
+  };
+  const Row rows[] = {
+    { "while idle", Arrival::BeforeRequest, true, true },
+    { "while idle, no id", Arrival::BeforeRequest, false, true },
+    { "with the answer", Arrival::AfterRequest, true, true },
+    { "with the answer, no id", Arrival::AfterRequest, false, true },
+    { "in two parts", Arrival::InTwoParts, true, true },
+    { "in two parts, no id", Arrival::InTwoParts, false, true },
+    { "during the run", Arrival::Late, true, true },
+    { "during the run, no id", Arrival::Late, false, true },
+    { "and then closed", Arrival::AfterRequest, true, false },
+    { "and then closed, no id", Arrival::AfterRequest, false, false },
+  };
+  for (const auto& row : rows) {
+    for (const std::string path : { "/safe/", "/once/" }) {
+      CAPTURE(row.mFault);
+      CAPTURE(path);
+      std::map<std::string, int> runs;
+      RunWithRawTarget(
+        [&](Connection& aConnection) -> Awaitable<void> {
+          std::string copy;
+          for (;;) {
+            const std::string request = co_await aConnection.ReadRequest();
+            if (request.empty()) {
+              co_return;
+            }
+            const std::string id = RawTarget::Field(request, "X-Request-Id");
+            if (id.starts_with("refused")) {
+              copy = Refusal(row.mHasId ? id : std::string());
+              co_await aConnection.Write(Refusal(id));
+              if (row.mArrival == Arrival::BeforeRequest) {
+                co_await aConnection.Pause(20ms);
+                co_await aConnection.Write(copy);
+                copy.clear();
+              }
+              continue;
+            }
+            ++runs[id];
+            if (row.mArrival == Arrival::InTwoParts) {
+              co_await aConnection.Write(copy.substr(0, copy.size() / 2));
+              co_await aConnection.Pause(10ms);
+              copy = copy.substr(copy.size() / 2);
+            } else if (row.mArrival == Arrival::Late) {
+              co_await aConnection.Pause(10ms);
+              co_await aConnection.Write(copy);
+              co_await aConnection.Pause(10ms);
+              copy.clear();
+            }
+            if (!row.mIsAnswered) {
+              co_await aConnection.Write(copy);
+              co_return;
+            }
+            co_await aConnection.Write(copy +
+                                       RawTarget::Answer(request, "for " + id));
+            copy.clear();
+          }
+        },
+        [&](GatewayFixture& aFixture, RawTarget& aTarget) -> Awaitable<void> {
+          RegisterOften(aFixture, aTarget, 4);
+          co_await aFixture.Pause(400ms);
+          for (int n = 0; n < 4; ++n) {
+            const std::string number = std::to_string(n);
+            co_await Ask(aFixture,
+                         GatewayFixture::Request(http::verb::get,
+                                                 "/once/r" + number,
+                                                 "refused-" + number));
+            co_await aFixture.Pause(40ms);
+            const std::string id = "id-" + number;
+            const auto outcome = co_await Ask(
+              aFixture,
+              GatewayFixture::Request(http::verb::get, path + number, id));
+            CAPTURE(n);
+            CHECK((runs[id] <= 1 || path == "/safe/"));
+            if (row.mIsAnswered) {
+              CHECK(outcome.mStatus == 200);
+              CHECK(outcome.mBodyStart == "for " + id);
+              CHECK(runs[id] == 1);
+            } else if (runs[id] > 0) {
+              CHECK((outcome.mStatus == 502 || outcome.mStatus == 504));
+            }
+            co_await aFixture.Pause(20ms);
+          }
+        });
+    }
+  }
+}
