Retry at a tried address on a new connection

Callers could be told that a request had not run while it ran: the request was refused at an address (421, not executed), was sent to the same address again for a target of another name, on the connection that the refusal had just released, and the target wrote the refusal once more. The copy carries the request's own id, so it was taken for the answer to the second attempt. Two records with one address are enough: an entry of another writer, or a target whose predecessor's record is still in the store.

An attempt at an address that the request has already been sent to now opens a new connection, on which no answer to an earlier attempt can arrive. Ruled out: closing each connection after a refusal, which would cost a new connection for each refusal of a full target; leaving the address out, which would refuse requests that the second target serves.

The new test failed on the unchanged code for both kinds of route (503 to the caller, one run at the target; 2 of 126 assertions) and passes now, with the other tests of the file (19424 assertions).

--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -3,6 +3,7 @@
 #include "ByteBudget.h"
 #include "HttpTypes.h"
 #include "Ids.h"
+#include "IpEndpoint.h"
 #include "RequestFingerprint.h"
 #include "RequestStage.h"
 #include "RoutingTable.h"
@@ -40,6 +41,8 @@
   TimePoint mAnswerDeadline{};
   RequestStage mStage = RequestStage::ReadingBody;
   std::vector<TargetName> mTried;
+  /// Addresses of the targets in `mTried`; several targets may share one.
+  std::vector<IpEndpoint> mTriedAddresses;
   unsigned mAttempts = 0;
   bool mMayHaveRun = false;
   bool mCallerGone = false;
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -6,6 +6,8 @@
 #include "SteadyTime.h"
 #include "TargetExchange.h"
 
+#include <algorithm>
+
 namespace pollenway {
 
 namespace {
@@ -91,6 +93,21 @@
   return aHost.substr(0, std::min(aHost.find(':'), aHost.size()));
 }
 
+/// Returns the maximum idle time of the connection for the next attempt at an
+/// address. A connection on which the request was already sent may deliver the
+/// answer to that attempt once more, which carries the same id.
+Duration MaxIdleTime(const ForwardedRequest& aRequest,
+                     const IpEndpoint& aAddress)
+{
+  const auto& tried = aRequest.mTriedAddresses;
+  if (std::find(tried.begin(), tried.end(), aAddress) != tried.end()) {
+    return Duration::zero();
+  }
+  return aRequest.mRule->mExecution == RouteExecution::Idempotent
+           ? kMaxIdleRepeatable
+           : kMaxIdleUnrepeatable;
+}
+
 /// Returns true for a status from which a caller may conclude that its request
 /// did not run.
 bool ImpliesNotRun(unsigned aStatus)
@@ -441,14 +458,17 @@
                       "no target may get the request now");
       co_return;
     }
+    const IpEndpoint address{ target->Record().mAddress,
+                              target->Record().mPort };
+    const Duration maxIdleTime = MaxIdleTime(request, address);
     request.mTried.push_back(target->Record().mName);
+    request.mTriedAddresses.push_back(address);
     TargetExchange exchange(mPool, mState.mPlatform, target);
     request.mExchange = &exchange;
     const TimePoint sentAt = SteadyNow();
     const double load = target->EstimatedLoad(sentAt);
     auto answer = co_await exchange.Run(MakeTargetRequest(request, *target),
-                                        isRepeatable ? kMaxIdleRepeatable
-                                                     : kMaxIdleUnrepeatable,
+                                        maxIdleTime,
                                         request.mDeadline,
                                         request.mDeadline + kAnswerGrace);
     request.mExchange = nullptr;
--- a/test/platform/TargetFaults.cpp
+++ b/test/platform/TargetFaults.cpp
@@ -478,6 +478,52 @@
   }
 }
 
+// Guards against a request that is refused although it runs: a request that
+// was refused at an address is sent there again under another target's name,
+// and the second copy of the refusal carries the request's own id.
+TEST_CASE("a refused request is sent to the same address on a new connection")
+{
+  for (const std::string path : { "/safe/a", "/once/a" }) {
+    CAPTURE(path);
+    int runs = 0;
+    RunWithRawTarget(
+      [&](Connection& aConnection) -> Awaitable<void> {
+        std::string copy;
+        for (;;) {
+          const std::string request = co_await aConnection.ReadRequest();
+          if (request.empty()) {
+            co_return;
+          }
+          const std::string id = RawTarget::Field(request, "X-Request-Id");
+          if (RawTarget::Field(request, "X-Target-Instance") != "i-0") {
+            copy = "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id +
+                   "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            co_await aConnection.Write(copy);
+            continue;
+          }
+          ++runs;
+          co_await aConnection.Write(copy + RawTarget::Answer(request, "ran"));
+        }
+      },
+      [&](GatewayFixture& aFixture, RawTarget& aTarget) -> Awaitable<void> {
+        RegisterOften(aFixture, aTarget, 2);
+        co_await aFixture.Pause(400ms);
+        for (int n = 0; n < 20; ++n) {
+          CAPTURE(n);
+          runs = 0;
+          const std::string id = "id-" + std::to_string(n);
+          auto request = GatewayFixture::Request(http::verb::get, path, id);
+          request.set(http::field::cookie,
+                      "X-Affinity-Key=" + std::to_string(n));
+          const auto outcome = co_await Ask(aFixture, std::move(request));
+          CHECK(outcome.mStatus == (runs > 0 ? 200 : 503));
+          CHECK(runs <= 1);
+          co_await aFixture.Pause(20ms);
+        }
+      });
+  }
+}
+
 // Guards against a caller that gets a success with an empty or a short body
 // when a target breaks off within the head of its answer, and against one that
 // is told that its request has not run.
