--- a/test/platform/PlatformStore.cpp
+++ b/test/platform/PlatformStore.cpp
@@ -1,5 +1,6 @@
 #include "PlatformStore.h"
 
+#include "OddEntries.h"
 #include "RunCoroutine.h"
 #include "StoreStandIn.h"
 
@@ -8,6 +9,17 @@
 
 namespace {
 
+std::string NamesOf(const auto& aObjects)
+{
+  std::string out;
+  for (const auto& it : aObjects) {
+    if (it.mName != "i-5") {
+      out += it.mName + " ";
+    }
+  }
+  return out;
+}
+
 struct Fixture
 {
   explicit Fixture(size_t aPageSize = 500)
@@ -186,3 +198,43 @@
     });
   }
 }
+
+// Guards against an entry of another writer that ends the process, or makes
+// the listing or the watch fail again and again for all other entries.
+TEST_CASE("an odd entry affects no other")
+{
+  for (const auto& odd : OddEntries()) {
+    for (const size_t pageSize : { size_t(500), size_t(2) }) {
+      CAPTURE(odd.mCase);
+      CAPTURE(pageSize);
+      Fixture fixture(pageSize);
+      RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+        auto& server = fixture.mServer;
+        for (const int n : { 0, 1, 2, 8, 9 }) {
+          server.Set("servers", "i-" + std::to_string(n), { { "n", n } });
+        }
+        odd.SetAt(server, "servers", "i-5");
+        auto listing =
+          co_await fixture.mStore->List("servers", ReadFreshness::Current);
+        CHECK(listing);
+        if (!listing) {
+          co_return;
+        }
+        CHECK(NamesOf(listing.value().mObjects) == "i-0 i-1 i-2 i-8 i-9 ");
+        CHECK(listing.value().mObjects.back().mValue == "{\"n\":9}");
+        odd.SetAt(server, "servers", "i-5");
+        server.Set("servers", "i-6", { { "n", 6 } });
+        server.Erase("servers", "i-5");
+        auto changes = co_await fixture.mStore->Watch(
+          "servers", listing.value().mPosition, 1s);
+        CHECK(changes);
+        if (!changes) {
+          co_return;
+        }
+        CHECK(NamesOf(changes.value().mChanges) == "i-6 ");
+        CHECK(changes.value().mPosition.mRevision == server.Revision());
+        server.Stop();
+      });
+    }
+  }
+}
--- a/test/platform/StoreStandIn.h
+++ b/test/platform/StoreStandIn.h
@@ -11,6 +11,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace pollenway {
 
@@ -71,9 +73,37 @@
     mKinds[aKind][aName] = object;
     mHistory.push_back({ mRevision, aKind, object, false });
   }
+  /// Writes an object whose spec is any text, also one that is not JSON.
+  void SetRaw(const std::string& aKind,
+              const std::string& aName,
+              std::string aSpec)
+  {
+    const std::string placeholder =
+      "raw spec " + std::to_string(mRawSpecs.size());
+    mRawSpecs.push_back({ '"' + placeholder + '"', std::move(aSpec) });
+    Set(aKind, aName, placeholder);
+  }
+  /// Writes an object that has these metadata besides its name and revision, or
+  /// instead of them.
+  void SetMetadata(const std::string& aKind,
+                   const std::string& aName,
+                   const nlohmann::json& aMetadata)
+  {
+    Set(aKind, aName, nullptr);
+    nlohmann::json& object = mKinds[aKind][aName];
+    if (aMetadata.is_object()) {
+      object["metadata"].update(aMetadata);
+    } else {
+      object["metadata"] = aMetadata;
+    }
+    mHistory.back().mObject = object;
+  }
   void Erase(const std::string& aKind, const std::string& aName)
   {
     auto object = mKinds[aKind][aName];
+    if (!object["metadata"].is_object()) {
+      object["metadata"] = { { "name", aName } };
+    }
     object["metadata"]["revision"] = ++mRevision;
     mKinds[aKind].erase(aName);
     mHistory.push_back({ mRevision, aKind, object, true });
@@ -134,7 +164,14 @@
 
   TextResponse Json(http::status aStatus, const nlohmann::json& aBody) const
   {
-    return WithEra(MakeJsonAnswer(aStatus, aBody.dump()));
+    std::string text = aBody.dump();
+    for (const auto& [placeholder, spec] : mRawSpecs) {
+      for (size_t at = text.find(placeholder); at != std::string::npos;
+           at = text.find(placeholder, at + spec.size())) {
+        text.replace(at, placeholder.size(), spec);
+      }
+    }
+    return WithEra(MakeJsonAnswer(aStatus, std::move(text)));
   }
   TextResponse Empty(http::status aStatus) const
   {
@@ -311,6 +348,8 @@
   Kinds mKinds;
   Kinds mStaleKinds;
   uint64_t mStaleRevision = 0;
+  /// Text that stands for a raw spec, and the spec.
+  std::vector<std::pair<std::string, std::string>> mRawSpecs;
   std::deque<Event> mHistory;
   uint64_t mRevision = 10;
   uint64_t mEra = 1;
