--- a/test/platform/TargetFaults.cpp
+++ b/test/platform/TargetFaults.cpp
@@ -2,6 +2,7 @@
 #include "RawTarget.h"
 
 #include <fstream>
+#include <map>
 
 using namespace pollenway;
 using namespace std::chrono_literals;
@@ -121,6 +122,32 @@
   }
 }
 
+/// Registers one raw target under many names, so that a failure, after which a
+/// target is not used for some time, does not end the test's requests.
+void RegisterOften(GatewayFixture& aFixture,
+                   const RawTarget& aTarget,
+                   int aNames)
+{
+  for (int n = 0; n < aNames; ++n) {
+    aFixture.mStoreServer.Set(
+      "servers",
+      "i-" + std::to_string(n),
+      { { "service", "s" },
+        { "address", "127.0.0.1:" + std::to_string(aTarget.Port()) },
+        { "zone", "z" },
+        { "slots", 4 },
+        { "state", "ready" },
+        { "sequence", 1 } });
+  }
+}
+
+std::string Refusal(const std::string& aId)
+{
+  return "HTTP/1.1 503 Service Unavailable\r\n" +
+         (aId.empty() ? std::string() : "X-Request-Id: " + aId + "\r\n") +
+         "X-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
 } // namespace
 
 // Guards against an answer without end that holds a caller, a connection or
@@ -345,3 +372,239 @@
       });
   }
 }
+
+// Guards against a caller that is told that its request has not run, or a
+// second target that runs it, because an earlier refusal arrives once more
+// where the answer is expected.
+TEST_CASE("a second copy of a refusal refuses no other request")
+{
+  enum class Arrival
+  {
+    BeforeRequest,
+    AfterRequest,
+    InTwoParts,
+    Late,
+  };
+  struct Row
+  {
+    std::string mFault;
+    Arrival mArrival;
+    bool mHasId;
+    bool mIsAnswered;
+  };
+  const Row rows[] = {
+    { "while idle", Arrival::BeforeRequest, true, true },
+    { "while idle, no id", Arrival::BeforeRequest, false, true },
+    { "with the answer", Arrival::AfterRequest, true, true },
+    { "with the answer, no id", Arrival::AfterRequest, false, true },
+    { "in two parts", Arrival::InTwoParts, true, true },
+    { "in two parts, no id", Arrival::InTwoParts, false, true },
+    { "during the run", Arrival::Late, true, true },
+    { "during the run, no id", Arrival::Late, false, true },
+    { "and then closed", Arrival::AfterRequest, true, false },
+    { "and then closed, no id", Arrival::AfterRequest, false, false },
+  };
+  for (const auto& row : rows) {
+    for (const std::string path : { "/safe/", "/once/" }) {
+      CAPTURE(row.mFault);
+      CAPTURE(path);
+      std::map<std::string, int> runs;
+      RunWithRawTarget(
+        [&](Connection& aConnection) -> Awaitable<void> {
+          std::string copy;
+          for (;;) {
+            const std::string request = co_await aConnection.ReadRequest();
+            if (request.empty()) {
+              co_return;
+            }
+            const std::string id = RawTarget::Field(request, "X-Request-Id");
+            if (id.starts_with("refused")) {
+              copy = Refusal(row.mHasId ? id : std::string());
+              co_await aConnection.Write(Refusal(id));
+              if (row.mArrival == Arrival::BeforeRequest) {
+                co_await aConnection.Pause(20ms);
+                co_await aConnection.Write(copy);
+                copy.clear();
+              }
+              continue;
+            }
+            ++runs[id];
+            if (row.mArrival == Arrival::InTwoParts) {
+              co_await aConnection.Write(copy.substr(0, copy.size() / 2));
+              co_await aConnection.Pause(10ms);
+              copy = copy.substr(copy.size() / 2);
+            } else if (row.mArrival == Arrival::Late) {
+              co_await aConnection.Pause(10ms);
+              co_await aConnection.Write(copy);
+              co_await aConnection.Pause(10ms);
+              copy.clear();
+            }
+            if (!row.mIsAnswered) {
+              co_await aConnection.Write(copy);
+              co_return;
+            }
+            co_await aConnection.Write(copy +
+                                       RawTarget::Answer(request, "for " + id));
+            copy.clear();
+          }
+        },
+        [&](GatewayFixture& aFixture, RawTarget& aTarget) -> Awaitable<void> {
+          RegisterOften(aFixture, aTarget, 4);
+          co_await aFixture.Pause(400ms);
+          for (int n = 0; n < 4; ++n) {
+            const std::string number = std::to_string(n);
+            co_await Ask(aFixture,
+                         GatewayFixture::Request(http::verb::get,
+                                                 "/once/r" + number,
+                                                 "refused-" + number));
+            co_await aFixture.Pause(40ms);
+            const std::string id = "id-" + number;
+            const auto outcome = co_await Ask(
+              aFixture,
+              GatewayFixture::Request(http::verb::get, path + number, id));
+            CAPTURE(n);
+            CHECK((runs[id] <= 1 || path == "/safe/"));
+            if (row.mIsAnswered) {
+              CHECK(outcome.mStatus == 200);
+              CHECK(outcome.mBodyStart == "for " + id);
+              CHECK(runs[id] == 1);
+            } else if (runs[id] > 0) {
+              CHECK((outcome.mStatus == 502 || outcome.mStatus == 504));
+            }
+            co_await aFixture.Pause(20ms);
+          }
+        });
+    }
+  }
+}
+
+// Guards against a request that is refused although it runs: a request that
+// was refused at an address is sent there again under another target's name,
+// and the second copy of the refusal carries the request's own id.
+TEST_CASE("a refused request is sent to the same address on a new connection")
+{
+  for (const std::string path : { "/safe/a", "/once/a" }) {
+    CAPTURE(path);
+    int runs = 0;
+    RunWithRawTarget(
+      [&](Connection& aConnection) -> Awaitable<void> {
+        std::string copy;
+        for (;;) {
+          const std::string request = co_await aConnection.ReadRequest();
+          if (request.empty()) {
+            co_return;
+          }
+          const std::string id = RawTarget::Field(request, "X-Request-Id");
+          if (RawTarget::Field(request, "X-Target-Instance") != "i-0") {
+            copy = "HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id +
+                   "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            co_await aConnection.Write(copy);
+            continue;
+          }
+          ++runs;
+          co_await aConnection.Write(copy + RawTarget::Answer(request, "ran"));
+        }
+      },
+      [&](GatewayFixture& aFixture, RawTarget& aTarget) -> Awaitable<void> {
+        RegisterOften(aFixture, aTarget, 2);
+        co_await aFixture.Pause(400ms);
+        for (int n = 0; n < 20; ++n) {
+          CAPTURE(n);
+          runs = 0;
+          const std::string id = "id-" + std::to_string(n);
+          auto request = GatewayFixture::Request(http::verb::get, path, id);
+          request.set(http::field::cookie,
+                      "X-Affinity-Key=" + std::to_string(n));
+          const auto outcome = co_await Ask(aFixture, std::move(request));
+          CHECK(outcome.mStatus == (runs > 0 ? 200 : 503));
+          CHECK(runs <= 1);
+          co_await aFixture.Pause(20ms);
+        }
+      });
+  }
+}
+
+// Guards against a caller that gets a success with an empty or a short body
+// when a target breaks off within the head of its answer, and against one that
+// is told that its request has not run.
+TEST_CASE("an answer whose head breaks off is no success")
+{
+  struct Row
+  {
+    std::string mFault;
+    std::string mStart;
+    std::string mFraming;
+  };
+  const Row rows[] = {
+    { "length", "", "Content-Length: 4\r\n\r\n" },
+    { "chunked", "", "Transfer-Encoding: chunked\r\n\r\n" },
+    { "end by close", "", "\r\n" },
+    { "interim answer",
+      "HTTP/1.1 100 Continue\r\nX-Request-Id: other\r\n\r\n",
+      "Content-Length: 4\r\n\r\n" },
+    { "folded field", "", "X-Long: a\r\n b\r\nContent-Length: 4\r\n\r\n" },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mFault);
+    size_t cut = 0;
+    bool isReset = false;
+    std::map<std::string, int> received;
+    // Known after the first request.
+    size_t headSize = 1;
+    RunWithRawTarget(
+      [&](Connection& aConnection) -> Awaitable<void> {
+        for (;;) {
+          const std::string request = co_await aConnection.ReadRequest();
+          if (request.empty()) {
+            co_return;
+          }
+          const std::string id = RawTarget::Field(request, "X-Request-Id");
+          if (id.starts_with("whole")) {
+            co_await aConnection.Write(RawTarget::Answer(request, "body"));
+            continue;
+          }
+          ++received[id];
+          const std::string head =
+            row.mStart + RawTarget::Head(request) + row.mFraming;
+          headSize = head.size();
+          co_await aConnection.Write(head.substr(0, cut));
+          if (isReset) {
+            co_await aConnection.Pause(1ms);
+            aConnection.Reset();
+          }
+          co_return;
+        }
+      },
+      [&](GatewayFixture& aFixture, RawTarget& aTarget) -> Awaitable<void> {
+        RegisterOften(aFixture, aTarget, 2500);
+        co_await aFixture.Pause(800ms);
+        int n = 0;
+        for (cut = 0; cut < headSize; ++cut) {
+          for (int variant = 0; variant < 8; ++variant) {
+            isReset = variant % 2 == 1;
+            const bool isKept = variant / 2 % 2 == 1;
+            const bool isSafe = variant / 4 == 1;
+            CAPTURE(cut);
+            CAPTURE(isReset);
+            CAPTURE(isKept);
+            CAPTURE(isSafe);
+            const std::string number = std::to_string(1000 + ++n);
+            if (isKept) {
+              co_await Ask(aFixture,
+                           GatewayFixture::Request(
+                             http::verb::get, "/once/w", "whole-" + number));
+            }
+            const std::string id = "id-" + number;
+            auto request = GatewayFixture::Request(
+              http::verb::get, (isSafe ? "/safe/" : "/once/") + number, id);
+            request.set(http::field::cookie, "X-Affinity-Key=" + number);
+            const auto outcome = co_await Ask(aFixture, std::move(request));
+            CHECK(outcome.mStatus == 502);
+            CHECK(received[id] >= 1);
+            CHECK((isSafe || received[id] == 1));
+          }
+        }
+        CHECK(cut == headSize);
+      });
+  }
+}
