Test two targets at first when paths are in doubt

An answer that takes longer than 150 ms leaves the paths in doubt and began up to eight tests at once, on an instance with 10 requests/s and answers of 400 ms 171 tests in 20 s. The first two tests now get 130 ms to end the doubt before more begin.

--- a/src/TargetReachability.cpp
+++ b/src/TargetReachability.cpp
@@ -39,6 +39,10 @@
 /// Maximum number of tests in progress: enough to decide within the timeout of
 /// a single connection attempt.
 constexpr size_t kMaxProbes = 8;
+/// The same at the start of a doubt, which a slow answer may have caused, and
+/// the time after which one that none of these has ended needs more.
+constexpr size_t kMaxFirstProbes = 2;
+constexpr Duration kFirstProbesTime = 130ms;
 /// Time after which a test without an outcome no longer counts as in progress.
 constexpr Duration kMaxProbeTime = 2s;
 /// A target counts as reachable before an isolation for this time after its
@@ -334,9 +338,11 @@
   if (!isDoubtful && aNow < mProbeDueAt) {
     return std::nullopt;
   }
+  const bool isFirst = isDoubtful && aNow - *mDoubtSince < kFirstProbesTime;
+  const size_t maxProbes = isIdle ? 1 : isFirst ? kMaxFirstProbes : kMaxProbes;
   const auto inProgress =
     Count([&](const Target& aIt) { return IsProbeInProgress(aIt, aNow); });
-  if (inProgress.mTargets >= (isIdle ? 1 : kMaxProbes)) {
+  if (inProgress.mTargets >= maxProbes) {
     return std::nullopt;
   }
   const auto out = ChooseProbe(aNow);
--- a/test/correctness/TargetReachability.cpp
+++ b/test/correctness/TargetReachability.cpp
@@ -86,6 +86,7 @@
   std::optional<CutKind> mCut;
   /// True if dead targets don't answer, instead of refusing connections.
   bool mDeadAreSilent = false;
+  Duration mAnswerTime = 60ms;
   TimePoint mNow = At(0);
   std::optional<TimePoint> mFirstIsolatedAt;
   TimePoint mLastWholeAt{};
@@ -166,7 +167,7 @@
     }
     // A connection may be in use by another request.
     target.mHasConnection = !mRandom.Chance(0.3);
-    After(60ms,
+    After(mAnswerTime,
           [this, &target] { mReachability.OnAnswer(target.mName, mNow); });
   }
 
@@ -404,4 +405,11 @@
     CHECK(model.mReachability.IsIsolated(model.mNow));
     CHECK(model.mProbes <= 10 * 20);
   }
+  for (const double rate : { 0.5, 10.0, 200.0 }) {
+    CAPTURE(rate);
+    PathModel model(40, 2, 2, 1);
+    model.mAnswerTime = 400ms;
+    model.RunUntil(At(20), rate);
+    CHECK(model.mProbes <= 20 * 4);
+  }
 }
