Report whether instances reach targets

Summaries and the status of a zone don't tell whether an instance reaches targets, so an instance without paths to them can't know through which others its requests could be sent, or whether the targets are gone for all.

InstanceSummary and ZoneStatus get mReachesTargets. A zone reaches targets if a ready instance does, and its caller endpoints are then only those of such instances.

--- a/src/FleetDigestCodec.cpp
+++ b/src/FleetDigestCodec.cpp
@@ -12,7 +12,7 @@
 using namespace datagram;
 
 constexpr uint32_t kFieldCount = 14;
-constexpr uint32_t kZoneFieldCount = 8;
+constexpr uint32_t kZoneFieldCount = 9;
 /// Maximum number of uses in one datagram: about 1.2 KB, one packet on a data
 /// centre link.
 constexpr size_t kUsesPerPart = 120;
@@ -72,6 +72,7 @@
     PackEndpoint(aPacker, it);
   }
   PackRates(aPacker, aZone.mServiceRates);
+  aPacker.pack(aZone.mReachesTargets);
 }
 
 ZoneStatus ReadZone(const msgpack::object& aObject)
@@ -100,6 +101,7 @@
     out.mCallerEndpoints.push_back(ReadEndpoint(endpoints.ptr[n]));
   }
   out.mServiceRates = ReadRates(fields.ptr[7]);
+  out.mReachesTargets = fields.ptr[8].as<bool>();
   return out;
 }
 
--- a/src/InstanceSummary.h
+++ b/src/InstanceSummary.h
@@ -32,6 +32,9 @@
   bool mReady = false;
   /// True if the instance has just started and will accept callers soon.
   bool mIsStarting = false;
+  /// False while the instance has lost its paths to all targets, and for some
+  /// time after that.
+  bool mReachesTargets = true;
   /// Version of the configuration in force on the instance.
   uint64_t mTableVersion = 0;
   /// Newest versions of the store's objects that the instance has received.
--- a/src/InstanceSummaryCodec.cpp
+++ b/src/InstanceSummaryCodec.cpp
@@ -6,7 +6,7 @@
 
 using namespace datagram;
 
-constexpr uint32_t kFieldCount = 17;
+constexpr uint32_t kFieldCount = 18;
 /// Number of the store's kinds whose newest versions are reported.
 constexpr uint32_t kPositionCount = 3;
 
@@ -38,6 +38,7 @@
   out.mEvacuationPosition = ReadPosition(positions.ptr[2]);
   out.mIsUrgent = aFields[15].as<bool>();
   out.mIsStarting = aFields[16].as<bool>();
+  out.mReachesTargets = aFields[17].as<bool>();
   return out;
 }
 
@@ -71,6 +72,7 @@
   PackPosition(packer, aSummary.mEvacuationPosition);
   packer.pack(aSummary.mIsUrgent);
   packer.pack(aSummary.mIsStarting);
+  packer.pack(aSummary.mReachesTargets);
   return std::string(buf.data(), buf.size());
 }
 
--- a/src/ZoneStatus.h
+++ b/src/ZoneStatus.h
@@ -22,9 +22,12 @@
   unsigned mKnown = 0;
   /// Number of those from which the delegate has a recent summary.
   unsigned mReachable = 0;
+  /// True if a ready instance reaches targets.
+  bool mReachesTargets = true;
   /// Empty if this and the next list are those of an earlier status.
   std::vector<ZoneDelegate> mDelegates;
-  /// Endpoints to which callers can connect at some of the ready instances.
+  /// Endpoints to which callers can connect at some of the ready instances:
+  /// those that reach targets, or others if none does.
   std::vector<IpEndpoint> mCallerEndpoints;
   /// Requests per second that callers send to the zone's instances.
   std::vector<ServiceRate> mServiceRates;
--- a/src/ZoneSum.cpp
+++ b/src/ZoneSum.cpp
@@ -14,13 +14,21 @@
   status.mRegion = aSelf.mRegion;
   status.mKnown = unsigned(aOthers.CountKnown() + 1);
   status.mReachable = 1;
+  status.mReachesTargets = false;
   status.mDelegates = aDelegates;
   std::map<ServiceName, double> rates;
   const auto add = [&](const InstanceSummary& aSummary) {
     for (const auto& it : aSummary.mServiceRates) {
       rates[it.mService] += it.mRate;
     }
-    if (aSummary.mReady &&
+    if (!aSummary.mReady) {
+      return;
+    }
+    if (aSummary.mReachesTargets && !status.mReachesTargets) {
+      status.mReachesTargets = true;
+      status.mCallerEndpoints.clear();
+    }
+    if (aSummary.mReachesTargets == status.mReachesTargets &&
         status.mCallerEndpoints.size() < kMaxCallerEndpoints) {
       status.mCallerEndpoints.push_back(aSummary.mCaller);
     }
--- a/test/correctness/FleetDigest.cpp
+++ b/test/correctness/FleetDigest.cpp
@@ -30,6 +30,7 @@
     zone.mAge = 250ms;
     zone.mKnown = 33;
     zone.mReachable = 32;
+    zone.mReachesTargets = it == std::string("n2");
     zone.mDelegates = { { InstanceName("edge-7"), { "127.0.0.7", 7000 } } };
     zone.mCallerEndpoints = { { "127.0.0.7", 8000 }, { "127.0.0.8", 8000 } };
     zone.mServiceRates = { { ServiceName("lookup"), 40 } };
--- a/test/correctness/InstanceSummary.cpp
+++ b/test/correctness/InstanceSummary.cpp
@@ -32,6 +32,7 @@
   out.mEvacuationPosition = { { 4 }, 10 };
   out.mIsUrgent = true;
   out.mIsStarting = true;
+  out.mReachesTargets = false;
   return out;
 }
 
--- a/test/correctness/ZoneSum.cpp
+++ b/test/correctness/ZoneSum.cpp
@@ -67,3 +67,42 @@
   CHECK(digest.mZones.front().mKnown == 200);
   CHECK(digest.mZones.front().mCallerEndpoints.size() == kMaxCallerEndpoints);
 }
+
+// Guards against callers and relayed requests of other zones that are sent to
+// instances without paths to targets while others of the zone have them.
+TEST_CASE("a zone's digest names the instances that reach targets")
+{
+  struct Row
+  {
+    std::vector<bool> mReachesTargets;
+    std::vector<bool> mIsReady;
+    std::vector<int> mNamed;
+    bool mZoneReachesTargets;
+  };
+  const Row rows[] = {
+    { { true, true, true }, { true, true, true }, { 0, 1, 2 }, true },
+    { { false, true, true }, { true, true, true }, { 1, 2 }, true },
+    { { false, false, true }, { true, true, true }, { 2 }, true },
+    { { true, false, false }, { true, true, true }, { 0 }, true },
+    { { false, false, false }, { true, true, true }, { 0, 1, 2 }, false },
+    { { false, false, true }, { true, true, false }, { 0, 1 }, false },
+    { { true, true, true }, { false, false, false }, {}, false },
+  };
+  for (const auto& row : rows) {
+    std::vector<InstanceSummary> summaries;
+    for (int n = 0; n < 3; ++n) {
+      summaries.push_back(Summary(n, row.mIsReady[size_t(n)]));
+      summaries.back().mReachesTargets = row.mReachesTargets[size_t(n)];
+    }
+    InstanceTable others(InstanceName("edge-0"), ZoneName("n1"));
+    others.OnSummary(summaries[1], At(10));
+    others.OnSummary(summaries[2], At(10));
+    const auto digest = SumZone(summaries[0], others, {}, At(10.1));
+    std::vector<IpEndpoint> named;
+    for (const int it : row.mNamed) {
+      named.push_back({ "127.0.0.1", uint16_t(8000 + it) });
+    }
+    CHECK(digest.mZones.front().mCallerEndpoints == named);
+    CHECK(digest.mZones.front().mReachesTargets == row.mZoneReachesTargets);
+  }
+}
