Notice the loss of all paths to targets

Callers of an instance that has lost its paths to all targets wait for connection attempts and exchanges that can't succeed, and nothing says so: no log line, no metric, no report to others.

GatewayServer owns a TargetReachability. TargetExchange feeds it; an attempt that was cancelled, or cut by the request's deadline before the connect timeout, is no evidence. A loop connects to the targets that it proposes and closes the connection. A change is logged with its inputs and reported to the other instances at once, or as soon as the minimum interval between two summaries allows.

TargetExchange's test only passes the new argument.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -137,6 +137,20 @@
   }
 }
 
+Awaitable<void> GatewayFrontend::ProbeTarget(RegisteredTarget aTarget)
+{
+  ErrorCode ec;
+  const tcp::endpoint endpoint(asio::ip::make_address(aTarget.mAddress, ec),
+                               aTarget.mPort);
+  HttpClientConnection connection(mExecutor);
+  const auto connected = co_await connection.Connect(endpoint, kConnectTimeout);
+  if (connected) {
+    mState.mReachability.OnConnected(aTarget.mName, SteadyNow());
+  } else {
+    mState.mReachability.OnConnectFailed(aTarget.mName, SteadyNow());
+  }
+}
+
 double GatewayFrontend::RetrySlack() const
 {
   const double totalSlack =
@@ -442,7 +456,8 @@
       co_return;
     }
     request.mTried.push_back(target->Record().mName);
-    TargetExchange exchange(mPool, mState.mPlatform, target);
+    TargetExchange exchange(
+      mPool, mState.mPlatform, mState.mReachability, target);
     request.mExchange = &exchange;
     const TimePoint sentAt = SteadyNow();
     const double load = target->EstimatedLoad(sentAt);
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -13,6 +13,7 @@
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
 #include "TargetRanking.h"
+#include "TargetReachability.h"
 #include "TargetTable.h"
 #include "WeightedSplitter.h"
 #include "WorkspaceQuota.h"
@@ -42,6 +43,7 @@
     CrashLedger& mCrashes;
     ServiceDemand& mDemand;
     const PlacementPlan& mPlan;
+    TargetReachability& mReachability;
   };
 
   GatewayFrontend(asio::any_io_executor aExecutor, State aState);
@@ -56,6 +58,10 @@
   /// Closes connections that have been idle for too long.
   void DropIdleConnections() { mPool.CloseExpired(); }
 
+  /// Connects to a target and closes the connection, to learn whether it can be
+  /// reached.
+  Awaitable<void> ProbeTarget(RegisteredTarget aTarget);
+
   /// Limits the time of attempts at targets that start from now on to
   /// `aDeadline`, because the process stops. Attempts in progress and answers
   /// that have begun keep their time.
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -2,6 +2,7 @@
 
 #include "HashOf.h"
 #include "Logger.h"
+#include "RelayPeers.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
 #include "StopSchedule.h"
@@ -24,6 +25,8 @@
 constexpr Duration kTickInterval = 500ms;
 /// Minimum time between two summaries when one is sent early.
 constexpr Duration kMinTickInterval = 120ms;
+/// Interval at which it is checked whether a target should be tested.
+constexpr Duration kProbePollInterval = 50ms;
 constexpr Duration kStopPollInterval = 50ms;
 constexpr Duration kFinalPollInterval = 10ms;
 /// A link to a peer with a pending call is replaced after this time without an
@@ -75,6 +78,7 @@
   , mCold(mSettings.mName, mSettings.mZone, mSettings.mRegion)
   , mDemand(SteadyNow())
   , mPlan(mSettings.mZone, mSettings.mRegionOf)
+  , mReachability(HashOf({ mSettings.mName.Text() }) ^ mIncarnation)
   , mFrontend(aIo.get_executor(),
               { mSettings,
                 mPlatform,
@@ -83,7 +87,8 @@
                 mCold,
                 mCrashes,
                 mDemand,
-                mPlan })
+                mPlan,
+                mReachability })
   , mDirectory(aIo.get_executor(),
                { mSettings,
                  mPlatform,
@@ -163,6 +168,7 @@
               mInstances,
               mRemoteZones,
               mQuota,
+              mReachability,
               mConfigurationFeed,
               mTargetFeed,
               mEvacuationFeed,
@@ -199,9 +205,15 @@
       RequestEarlyTick();
     }
   });
+  mReachability.OnChanged([this] {
+    const TimePoint now = SteadyNow();
+    LogReachability(now);
+    ReportReachability(now);
+  });
   mTargets.OnRemoved([this](const RegisteredTarget& aTarget) {
     mFrontend.DropConnections(aTarget);
     mCold.Remove(aTarget.mName);
+    mReachability.Remove(aTarget.mName);
     Log(LogLevel::Info,
         "target_removed",
         { { "target", aTarget.mName.Text() },
@@ -255,6 +267,7 @@
   mEvacuationFeed.Start();
   mRegistry.Start();
   Spawn(mIo, TickLoop());
+  Spawn(mIo, ProbeLoop());
   Log(LogLevel::Info,
       "started",
       { { "instance", mSettings.mName.Text() },
@@ -328,6 +341,68 @@
   }
 }
 
+Awaitable<void> GatewayServer::ProbeLoop()
+{
+  for (;;) {
+    const TimePoint now = SteadyNow();
+    while (const auto name = mReachability.NextProbe(now)) {
+      if (const auto target = mTargets.Find(*name)) {
+        Spawn(mIo, mFrontend.ProbeTarget(target->Record()));
+      }
+    }
+    // The report may follow a change with a delay, or have come too soon after
+    // the last one.
+    ReportReachability(now);
+    co_await Pause(kProbePollInterval);
+  }
+}
+
+void GatewayServer::ReportReachability(TimePoint aNow)
+{
+  if (mReachability.ReachesTargets(aNow) != mReportedReachingTargets) {
+    mIsNextSummaryUrgent = true;
+    mIsNextDigestUrgent = true;
+    RequestEarlyTick();
+  }
+}
+
+void GatewayServer::LogReachability(TimePoint aNow) const
+{
+  const auto& evidence = mReachability.LastEvidence();
+  const auto peers = FindRelayCandidates(
+    mInstances, mRemoteZones, mSettings.mZone, mSettings.mRegion, aNow);
+  const auto milliseconds = [](Duration aTime) {
+    return uint64_t(
+      std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+  };
+  if (mReachability.IsIsolated(aNow)) {
+    Log(LogLevel::Warn,
+        "targets_unreachable",
+        { { "failed_targets", uint64_t(evidence.mFailedTargets) },
+          { "failed_services", uint64_t(evidence.mFailedServices) },
+          { "failed_zones", uint64_t(evidence.mFailedZones) },
+          { "targets", uint64_t(mTargets.Size()) },
+          { "since_connected_ms", milliseconds(evidence.mSinceConnected) },
+          { "peers", uint64_t(peers.size()) } });
+    return;
+  }
+  Log(LogLevel::Info,
+      "targets_reachable",
+      { { "connected_targets", uint64_t(evidence.mConnectedTargets) },
+        { "targets", uint64_t(mTargets.Size()) },
+        { "isolated_ms", milliseconds(evidence.mIsolatedFor) },
+        { "peers", uint64_t(peers.size()) } });
+}
+
+void GatewayServer::UpdateReachability()
+{
+  for (const auto& service : mTargets.Services()) {
+    for (const auto& it : mTargets.OfService(service)) {
+      mReachability.Put(it->Record().mName, service, it->Record().mZone);
+    }
+  }
+}
+
 void GatewayServer::RequestEarlyTick()
 {
   if (mIsEarlyTickPending || SteadyNow() - mTickedAt < kMinTickInterval) {
@@ -348,6 +423,7 @@
   for (const auto& it : mTargets.Expire(now)) {
     Log(LogLevel::Info, "target_record_renewed", { { "target", it.Text() } });
   }
+  UpdateReachability();
   mEvacuatedZones.Expire(now);
   SetEvacuated(mEvacuatedZones.InForce());
   mDelegates = ChooseDelegates(
@@ -513,6 +589,8 @@
   out.mCaller = mSettings.mCallerEndpoint;
   out.mReady = IsReady();
   out.mIsStarting = IsStarting();
+  out.mReachesTargets = ReachesTargets();
+  mReportedReachingTargets = out.mReachesTargets;
   out.mTableVersion = mTable ? mTable->Version() : 0;
   out.mConfigurationPosition = mConfigurationFeed.NewestVersion();
   out.mTargetPosition = mTargetFeed.NewestVersion();
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -16,8 +16,10 @@
 #include "RelayedStore.h"
 #include "RemoteZones.h"
 #include "StateFeed.h"
+#include "SteadyTime.h"
 #include "StorePosition.h"
 #include "SummaryExchange.h"
+#include "TargetReachability.h"
 #include "TargetTable.h"
 #include "UseSelection.h"
 #include "WorkspaceQuota.h"
@@ -54,17 +56,30 @@
   uint16_t ReadyPort() const { return mDirectory.ReadyPort(); }
   /// Returns true if new callers should connect to this instance.
   bool IsReady() const;
+  /// Returns true if look-ups and other instances should count on this
+  /// instance's paths to targets.
+  bool ReachesTargets() const
+  {
+    return mReachability.ReachesTargets(SteadyNow());
+  }
 
 private:
   /// Returns true for some time after the start, until the instance is ready.
   bool IsStarting() const;
   Awaitable<void> TickLoop();
+  Awaitable<void> ProbeLoop();
   Awaitable<void> StopLoop();
   Awaitable<void> Pause(Duration aTime);
   Awaitable<void> PauseUntil(TimePoint aTime);
   void Tick();
   /// Sends the next summary immediately, unless the last one was just sent.
   void RequestEarlyTick();
+  /// Reports to the other instances without delay that this one has lost its
+  /// paths to targets, or has them back.
+  void ReportReachability(TimePoint aNow);
+  void LogReachability(TimePoint aNow) const;
+  /// Makes the targets of the table known to `mReachability`.
+  void UpdateReachability();
   /// As a delegate of the zone, sends the sums over its instances to the other
   /// zones, and those over the other zones to its instances.
   void SendDigests(TimePoint aNow);
@@ -121,6 +136,7 @@
   CrashLedger mCrashes;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
+  TargetReachability mReachability;
   GatewayFrontend mFrontend;
   GatewayDirectory mDirectory;
   SummaryExchange mSummaries;
@@ -141,6 +157,8 @@
   /// next report without delay.
   bool mIsNextSummaryUrgent = false;
   bool mIsNextDigestUrgent = false;
+  /// What the last summary said.
+  bool mReportedReachingTargets = true;
   /// Incarnations of the live instances as last logged.
   std::map<InstanceName, uint64_t> mLoggedLiveInstances;
   bool mStopping = false;
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -8,6 +8,7 @@
 #include "RoutingTable.h"
 #include "StateFeed.h"
 #include "SteadyTime.h"
+#include "TargetReachability.h"
 #include "TargetTable.h"
 #include "WorkspaceQuota.h"
 
@@ -56,6 +57,7 @@
     out.push_back({ { "instance", name.Text() },
                     { "zone", peer.mSummary.mZone.Text() },
                     { "ready", peer.mSummary.mReady },
+                    { "reaches_targets", peer.mSummary.mReachesTargets },
                     { "live", aInstances.IsLive(peer, aNow) },
                     { "table", peer.mSummary.mTableVersion },
                     { "age_s", ToSeconds(aNow - peer.mLastReceivedAt) } });
@@ -71,6 +73,7 @@
       { { "zone", it->mZone.Text() },
         { "known", it->mKnown },
         { "reachable", it->mReachable },
+        { "reaches_targets", it->mReachesTargets },
         { "delegates", it->mDelegates.size() },
         { "age_s",
           ToSeconds(
@@ -102,6 +105,7 @@
     evacuated.push_back(it.Text());
   }
   return { { "ready", mSources.mIsReady() },
+           { "reaches_targets", mSources.mReachability.ReachesTargets(aNow) },
            { "table", table ? table->Version() : 0 },
            { "feeds",
              { { "configuration", FeedJson(mSources.mConfigurationFeed) },
@@ -126,6 +130,10 @@
   }
   writer.Begin("pollenway_targets", "gauge", "Targets that may get requests.");
   writer.Sample({}, uint64_t(mSources.mTargets.Size()));
+  writer.Begin("pollenway_targets_unreachable",
+               "gauge",
+               "1 while new connections to targets fail everywhere.");
+  writer.Sample({}, uint64_t(mSources.mReachability.IsIsolated(now) ? 1 : 0));
   writer.Begin("pollenway_instances_live", "gauge", "Other live instances.");
   writer.Sample({},
                 uint64_t(mSources.mInstances.Live(now).size() +
--- a/src/GatewayStatus.h
+++ b/src/GatewayStatus.h
@@ -14,6 +14,7 @@
 class GatewayFrontend;
 class InstanceTable;
 class StateFeed;
+class TargetReachability;
 class TargetTable;
 class WorkspaceQuota;
 class RoutingTable;
@@ -30,6 +31,7 @@
     const InstanceTable& mInstances;
     const RemoteZones& mRemoteZones;
     const WorkspaceQuota& mQuota;
+    const TargetReachability& mReachability;
     const StateFeed& mConfigurationFeed;
     const StateFeed& mTargetFeed;
     const StateFeed& mEvacuationFeed;
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -45,6 +45,7 @@
   /// Closes the connections that have been idle for longer than `mMaxIdleTime`.
   void CloseExpired();
   size_t IdleConnections() const;
+  Duration ConnectTimeout() const { return mOptions.mConnectTimeout; }
 
   /// Performs one complete exchange. Errors: MessageTooLarge if the answer's
   /// body exceeds `aAnswerLimit` bytes.
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -23,9 +23,11 @@
 
 TargetExchange::TargetExchange(HttpClientPool& aPool,
                                const PlatformAdapter& aPlatform,
+                               TargetReachability& aReachability,
                                std::shared_ptr<TargetState> aTarget)
   : mPool(aPool)
   , mPlatform(aPlatform)
+  , mReachability(aReachability)
   , mTarget(std::move(aTarget))
 {
   ErrorCode ec;
@@ -59,12 +61,17 @@
 {
   TargetAnswer answer;
   const TimePoint startedAt = SteadyNow();
-  auto acquired =
-    co_await mPool.Acquire(mEndpoint, aMaxIdleTime, RemainingTime(aSendBy));
+  const auto& name = mTarget->Record().mName;
+  const Duration timeLeft = RemainingTime(aSendBy);
+  mReachability.OnAttempt(name, startedAt);
+  auto acquired = co_await mPool.Acquire(mEndpoint, aMaxIdleTime, timeLeft);
   // A connection that was not established in the time that the request had left
   // is no fault of the target.
   const bool isTimeout = mCancelled || SteadyNow() >= aSendBy;
   if (!acquired) {
+    if (!isTimeout || timeLeft >= mPool.ConnectTimeout()) {
+      mReachability.OnConnectFailed(name, SteadyNow());
+    }
     Fail(answer,
          isTimeout ? AttemptFailure::Timeout : AttemptFailure::ConnectFailed,
          acquired.error().mDetail);
@@ -73,6 +80,7 @@
   mConnection = std::move(acquired.value());
   if (mConnection->IsNew()) {
     mTarget->OnConnected(SteadyNow() - startedAt);
+    mReachability.OnConnected(name, SteadyNow());
   }
   if (isTimeout) {
     Fail(answer, AttemptFailure::Timeout, "ended before it was sent");
@@ -90,6 +98,26 @@
   co_return answer;
 }
 
+Awaitable<ErrorCode> TargetExchange::ReadHeader(
+  std::shared_ptr<const TextRequest> aRequest,
+  bool aIsFirst,
+  TimePoint aDeadline)
+{
+  ErrorCode ec;
+  if (aIsFirst) {
+    ec = co_await mConnection->WriteAndReadHeader(aRequest,
+                                                  RemainingTime(aDeadline));
+  } else {
+    ec = co_await mConnection->ReadHeader(RemainingTime(aDeadline));
+  }
+  if (!ec) {
+    mReachability.OnAnswer(mTarget->Record().mName, SteadyNow());
+  } else if (!mCancelled) {
+    mReachability.OnExchangeLost(mTarget->Record().mName, SteadyNow());
+  }
+  co_return ec;
+}
+
 Awaitable<bool> TargetExchange::ReadMatchingHeader(
   std::shared_ptr<const TextRequest> aRequest,
   TimePoint aDeadline,
@@ -98,13 +126,7 @@
   const auto& idField = mPlatform.Fields().mRequestId;
   const std::string id = FieldText(*aRequest, idField);
   for (int n = 0; n <= kMaxMismatchedAnswers; ++n) {
-    ErrorCode ec;
-    if (n == 0) {
-      ec = co_await mConnection->WriteAndReadHeader(aRequest,
-                                                    RemainingTime(aDeadline));
-    } else {
-      ec = co_await mConnection->ReadHeader(RemainingTime(aDeadline));
-    }
+    const ErrorCode ec = co_await ReadHeader(aRequest, n == 0, aDeadline);
     if (ec) {
       const bool isTimeout = mCancelled || ec == beast::error::timeout;
       Fail(aAnswer,
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -3,6 +3,7 @@
 #include "HttpClientPool.h"
 #include "PlatformAdapter.h"
 #include "RetryPolicy.h"
+#include "TargetReachability.h"
 #include "TargetState.h"
 
 #include <memory>
@@ -31,6 +32,7 @@
 public:
   TargetExchange(HttpClientPool& aPool,
                  const PlatformAdapter& aPlatform,
+                 TargetReachability& aReachability,
                  std::shared_ptr<TargetState> aTarget);
   ~TargetExchange();
 
@@ -50,6 +52,9 @@
   bool IsCancelled() const { return mCancelled; }
 
 private:
+  Awaitable<ErrorCode> ReadHeader(std::shared_ptr<const TextRequest> aRequest,
+                                  bool aIsFirst,
+                                  TimePoint aDeadline);
   Awaitable<bool> ReadMatchingHeader(
     std::shared_ptr<const TextRequest> aRequest,
     TimePoint aDeadline,
@@ -63,6 +68,7 @@
 
   HttpClientPool& mPool;
   const PlatformAdapter& mPlatform;
+  TargetReachability& mReachability;
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
--- a/src/TargetTable.cpp
+++ b/src/TargetTable.cpp
@@ -109,6 +109,12 @@
   return renewed;
 }
 
+std::shared_ptr<TargetState> TargetTable::Find(const TargetName& aName) const
+{
+  const auto it = mByName.find(aName);
+  return it == mByName.end() ? nullptr : it->second;
+}
+
 const TargetTable::Targets& TargetTable::OfService(
   const ServiceName& aService) const
 {
--- a/src/TargetTable.h
+++ b/src/TargetTable.h
@@ -39,6 +39,8 @@
   /// whose outdated record counts from now on, since the store still holds it.
   std::vector<TargetName> Expire(TimePoint aNow);
 
+  /// Returns null for an unknown target.
+  std::shared_ptr<TargetState> Find(const TargetName& aName) const;
   const Targets& OfService(const ServiceName& aService) const;
   /// Returns the services that have or had targets.
   std::vector<ServiceName> Services() const;
--- a/test/platform/TargetExchange.cpp
+++ b/test/platform/TargetExchange.cpp
@@ -47,8 +47,9 @@
     record.mAddress = "127.0.0.1";
     record.mPort = acceptor.local_endpoint().port();
     const auto target = std::make_shared<TargetState>(record, RegionName("r"));
+    TargetReachability reachability(1);
     RunCoroutine(io, [&]() -> Awaitable<void> {
-      TargetExchange exchange(pool, platform, target);
+      TargetExchange exchange(pool, platform, reachability, target);
       const TimePoint until = SteadyNow() + row.mTimeLeft;
       auto request =
         std::make_shared<const TextRequest>(http::verb::get, "/", 11);
