Name instances that reach targets in look-ups

Look-ups named every live and ready instance, also one that has lost its paths to all targets. New callers were sent to it like to any other.

The choice is now a function of the core. Instances of the zone and the region that don't reach targets are named only if none of both does; those of the region are added if fewer than two, or less than a third of the zone's ready ones, are left. Callers are not moved to another region because of lost paths. An instance is named again 1.5 to 3 s after its isolation has ended, at a time that differs by instance. Readiness is unchanged: an instance in touch must take connections, and its requests can be relayed; when no other instance reaches targets it is no worse than they are.

Tests: the table of cases; 9 of its 19 rows fail when the choice ignores the paths, as the code before did. GatewayReachability runs a gateway whose three targets stop listening and return, with and without requests; it is noticed both ways and the instance stays ready.

--- a/src/GatewayDirectory.cpp
+++ b/src/GatewayDirectory.cpp
@@ -1,6 +1,7 @@
 #include "GatewayDirectory.h"
 
 #include "HttpHeaders.h"
+#include "ListedInstances.h"
 #include "Logger.h"
 #include "SteadyTime.h"
 
@@ -14,10 +15,6 @@
 /// which they learn that an instance has left. A longer time reduces the number
 /// of look-ups.
 constexpr Duration kAnswerTtl = 2s;
-/// If the zone has fewer ready instances than this, those of the region are
-/// added: the failure of a single instance would leave the callers without any.
-constexpr size_t kMinListedInstances = 2;
-constexpr size_t kMaxListedInstances = 64;
 
 std::string_view View(beast::string_view aText)
 {
@@ -58,46 +55,37 @@
   const LookupQuery& aQuery,
   TimePoint aNow) const
 {
-  struct Candidate
-  {
-    int mDistance;
-    IpEndpoint mEndpoint;
-  };
-  std::vector<Candidate> candidates;
+  std::vector<ListedInstance> candidates;
   const auto add = [&](const ZoneName& aZone,
                        const RegionName& aRegion,
-                       const IpEndpoint& aEndpoint) {
+                       const IpEndpoint& aEndpoint,
+                       bool aReachesTargets) {
     const int distance = aZone == aQuery.mZone       ? 0
                          : aRegion == aQuery.mRegion ? 1
                                                      : 2;
-    candidates.push_back({ distance, aEndpoint });
+    candidates.push_back({ aEndpoint, distance, aReachesTargets });
   };
   const auto& settings = mState.mSettings;
   if (mState.mIsReady()) {
-    add(settings.mZone, settings.mRegion, settings.mCallerEndpoint);
+    add(settings.mZone,
+        settings.mRegion,
+        settings.mCallerEndpoint,
+        mState.mReachesTargets());
   }
   for (const auto* it : mState.mInstances.Live(aNow)) {
     if (it->mSummary.mReady) {
-      add(it->mSummary.mZone, it->mSummary.mRegion, it->mSummary.mCaller);
+      add(it->mSummary.mZone,
+          it->mSummary.mRegion,
+          it->mSummary.mCaller,
+          it->mSummary.mReachesTargets);
     }
   }
   for (const auto* zone : mState.mRemoteZones.LiveZones(aNow)) {
     for (const auto& it : zone->mCallerEndpoints) {
-      add(zone->mZone, zone->mRegion, it);
-    }
-  }
-  std::vector<IpEndpoint> out;
-  for (int distance = 0; distance <= 2; ++distance) {
-    if (out.size() >= kMinListedInstances || (distance == 2 && !out.empty())) {
-      break;
-    }
-    for (const auto& it : candidates) {
-      if (it.mDistance == distance && out.size() < kMaxListedInstances) {
-        out.push_back(it.mEndpoint);
-      }
+      add(zone->mZone, zone->mRegion, it, zone->mReachesTargets);
     }
   }
-  return out;
+  return ChooseListedInstances(candidates);
 }
 
 Awaitable<void> GatewayDirectory::HandleLookup(HttpConnection& aConnection)
--- a/src/GatewayDirectory.h
+++ b/src/GatewayDirectory.h
@@ -24,6 +24,8 @@
     const RemoteZones& mRemoteZones;
     /// Returns true if this instance accepts new callers.
     std::function<bool()> mIsReady;
+    /// Returns true if it reaches targets.
+    std::function<bool()> mReachesTargets;
   };
 
   GatewayDirectory(asio::any_io_executor aExecutor, State aState);
@@ -33,9 +35,9 @@
   uint16_t LookupPort() const { return mLookupServer.Port(); }
   uint16_t ReadyPort() const { return mReadyServer.Port(); }
 
-  /// Returns the instances for callers of a zone: those of the zone, with those
-  /// of its region if there are too few, or all if there is none. Contains only
-  /// ready instances that are live, and only some of those of other zones.
+  /// Returns the instances for callers of a zone, as `ChooseListedInstances`
+  /// does. Contains only ready instances that are live, and only some of those
+  /// of other zones.
   std::vector<IpEndpoint> InstancesFor(const LookupQuery& aQuery,
                                        TimePoint aNow) const;
 
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -94,7 +94,8 @@
                  mPlatform,
                  mInstances,
                  mRemoteZones,
-                 [this] { return IsReady(); } })
+                 [this] { return IsReady(); },
+                 [this] { return ReachesTargets(); } })
   , mSummaries(
       aIo.get_executor(),
       mInstances,
