--- a/test/soak/faults.py
+++ b/test/soak/faults.py
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import math
+import random
 import signal
 import time
 
@@ -105,6 +106,7 @@
 async def target_link_fault(fleet):
     target = fleet.random.choice(fleet.targets)
     proxy = fleet.target_proxies[target.name]
+    fleet.link_faults[target.name] = math.inf
     fault = fleet.random.choice(["silent", "cut_upwards", "refuse", "delay", "reset"])
     if fault == "delay":
         proxy.delay_s = 0.3
@@ -114,6 +116,7 @@
         setattr(proxy, fault, True)
     await asyncio.sleep(fleet.random.uniform(0.5, 4))
     proxy.clear_faults()
+    fleet.link_faults[target.name] = time.monotonic() + 1
 
 
 async def target_misbehaves(fleet):
@@ -191,6 +194,28 @@
     fleet.register(target)
 
 
+async def targets_announce(fleet, until):
+    """Lets targets announce in turn that they leave, with a new incarnation some
+    seconds later, or ask for quiet times. Their entries remain as they are."""
+    choices = random.Random(fleet.seed)
+    while time.monotonic() < until:
+        target = choices.choice(fleet.targets)
+        if fleet.target_states[target.name] == "ready" and not target.is_leaving:
+            if choices.random() < 0.5:
+                target.quiet_until = time.monotonic() + choices.uniform(0.7, 4)
+            else:
+                target.is_leaving = True
+                asyncio.create_task(start_anew(fleet, target, choices.uniform(4, 8)))
+        await asyncio.sleep(choices.uniform(0.5, 2))
+
+
+async def start_anew(fleet, target, delay_s):
+    await asyncio.sleep(delay_s)
+    if target.is_leaving and fleet.target_states[target.name] == "ready":
+        fleet.target_states[target.name] = "left"
+        fleet.register(target)
+
+
 def choose_target(fleet, states):
     return fleet.random.choice([it for it in fleet.targets if fleet.target_states[it.name] in states])
 
--- a/test/soak/fleet.py
+++ b/test/soak/fleet.py
@@ -167,6 +167,11 @@
         self.holds_requests = False
         # True if the store is restored from a copy during the run.
         self.restores_store = False
+        # True if targets announce that they leave, or ask for quiet times.
+        self.announces = False
+        # Times until which targets' links count as faulty.
+        self.link_faults = {}
+        self.seed = seed
         self.version = 1
         self.routes = {"safe": "idempotent", "once": "non_idempotent"}
         self.keys = {it: ["key-" + it] for it in ("dairy", "butcher", "baker", "miller")}
@@ -211,6 +216,8 @@
             self.draining_since.pop(target.name, None)
         if state == "ready" and self.target_states.get(target.name) != "ready":
             self.born_ms[target.name] = int(time.time() * 1000)
+            target.incarnation = f"{target.name}/{self.born_ms[target.name]}"
+            target.is_leaving, target.quiet_until = False, 0.0
         self.target_states[target.name] = state
         self.left.pop(target.name, None)
         self.sequence += 1
--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -209,6 +209,15 @@
         self.truncate = False
         self.fail_share = 0.0
         self.random = None
+        # Name and start time of the present incarnation.
+        self.incarnation = name
+        # True if each answer announces that the target leaves.
+        self.is_leaving = False
+        # Until then, requests are turned away with the time that is left.
+        self.quiet_until = 0.0
+        # List of (time, request id, incarnation, end of the quiet time; None
+        # while it leaves) of the requests that arrive after an announcement.
+        self.announced = []
 
     async def handle(self, request):
         body = await request.read()
@@ -216,6 +225,14 @@
         headers = {"X-Request-Id": request_id, "X-Server-Load": "1,0,8"}
         if request.headers.get("X-Target-Instance", self.name) != self.name:
             return web.Response(status=421, headers={**headers, "X-Not-Executed": "1"})
+        now = time.monotonic()
+        if self.is_leaving:
+            self.announced.append((now, request_id, self.incarnation, None))
+            headers.update({"Server-Leaving": "1", "X-Instance-Id": self.incarnation})
+        elif now < self.quiet_until:
+            self.announced.append((now, request_id, self.incarnation, self.quiet_until))
+            headers.update({"X-Not-Executed": "1", "Retry-After": f"{self.quiet_until - now:.3f}"})
+            return web.Response(status=503, headers=headers)
         arrival = Arrival()
         self.arrivals.setdefault(request_id, []).append(arrival)
         deadline = time.monotonic() + int(request.headers.get("X-Deadline-Ms", 60000)) / 1000
