--- a/src/TargetTable.h
+++ b/src/TargetTable.h
@@ -42,6 +42,8 @@
   /// Returns null for an unknown target.
   std::shared_ptr<TargetState> Find(const TargetName& aName) const;
   const Targets& OfService(const ServiceName& aService) const;
+  /// Returns the target's record; null if it may not receive requests.
+  const RegisteredTarget* FindRecord(const TargetName& aName) const;
   /// Returns the services that have or had targets.
   std::vector<ServiceName> Services() const;
   size_t Size() const { return mByName.size(); }
