Skip the look-up of targets that have announced nothing

Change: a bit set over the hashes of the names, which the targets already have, rules out nearly all targets without announcements.

The platform tests and the soak were not run again on this commit.

--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -1,5 +1,6 @@
 #include "TargetAnnouncements.h"
 
+#include "HashOf.h"
 #include "RegisteredTarget.h"
 
 #include <algorithm>
@@ -46,11 +47,29 @@
   return true;
 }
 
+TargetAnnouncements::Entry& TargetAnnouncements::EntryOf(
+  const TargetName& aTarget)
+{
+  const auto [it, isNew] = mEntries.try_emplace(aTarget);
+  if (isNew) {
+    mNameFilter.set(HashOf({ aTarget.Text() }) % kNameFilterBits);
+  }
+  return it->second;
+}
+
+void TargetAnnouncements::RebuildNameFilter()
+{
+  mNameFilter.reset();
+  for (const auto& [name, entry] : mEntries) {
+    mNameFilter.set(HashOf({ name.Text() }) % kNameFilterBits);
+  }
+}
+
 void TargetAnnouncements::OnLeaving(const RegisteredTarget& aTarget)
 {
   const Announcement announcement{ .mStartedAtMs = aTarget.mStartedAtMs,
                                    .mUntil = TimePoint::max() };
-  if (Announce(mEntries[aTarget.mName].mLeaving, announcement)) {
+  if (Announce(EntryOf(aTarget.mName).mLeaving, announcement)) {
     Report(aTarget.mName, announcement, ClosedReason::Leaving, true, {});
   }
 }
@@ -68,7 +87,7 @@
                                  ToSeconds(kMaxReturnDelay));
   const Announcement announcement{ .mStartedAtMs = aTarget.mStartedAtMs,
                                    .mUntil = aNow + time + FromSeconds(delay) };
-  if (Announce(mEntries[aTarget.mName].mQuiet, announcement)) {
+  if (Announce(EntryOf(aTarget.mName).mQuiet, announcement)) {
     Report(aTarget.mName,
            announcement,
            ClosedReason::Quiet,
@@ -79,7 +98,7 @@
 
 bool TargetAnnouncements::OnMalformed(const RegisteredTarget& aTarget)
 {
-  return !std::exchange(mEntries[aTarget.mName].mHasSentMalformed, true);
+  return !std::exchange(EntryOf(aTarget.mName).mHasSentMalformed, true);
 }
 
 std::optional<ClosedReason> TargetAnnouncements::Find(
@@ -135,6 +154,7 @@
   const Duration elapsed =
     mExpiredAt == TimePoint{} || aIsStoreLost ? Duration() : aNow - mExpiredAt;
   mExpiredAt = aNow;
+  const size_t n = mEntries.size();
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     auto& [name, entry] = *it;
     const auto* record = aFindRecord(name);
@@ -153,6 +173,9 @@
     it = next;
   }
   LimitUnlisted();
+  if (mEntries.size() != n) {
+    RebuildNameFilter();
+  }
 }
 
 void TargetAnnouncements::LimitUnlisted()
--- a/src/TargetAnnouncements.h
+++ b/src/TargetAnnouncements.h
@@ -4,6 +4,7 @@
 #include "Random.h"
 #include "Time.h"
 
+#include <bitset>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -85,6 +86,12 @@
   /// first time for each target.
   bool OnMalformed(const RegisteredTarget& aTarget);
 
+  /// Returns false if nothing is remembered of the target with this hash of the
+  /// name. Cheaper than `Find`, and true for few other targets.
+  bool MayConcern(uint64_t aNameHash) const
+  {
+    return mNameFilter[aNameHash % kNameFilterBits];
+  }
   /// Returns the reason for which the target may receive no request now, if
   /// there is one.
   std::optional<ClosedReason> Find(const RegisteredTarget& aTarget,
@@ -110,6 +117,8 @@
   size_t Size() const { return mEntries.size(); }
 
 private:
+  static constexpr size_t kNameFilterBits = 4096;
+
   struct Announcement
   {
     /// Start time of the incarnation that has announced it; 0 if unknown.
@@ -141,7 +150,9 @@
                      ClosedReason aReason,
                      const RegisteredTarget* aRecord,
                      TimePoint aNow) const;
+  Entry& EntryOf(const TargetName& aTarget);
   void Forget(Entries::iterator aEntry);
+  void RebuildNameFilter();
   void LimitUnlisted();
   void Report(const TargetName& aTarget,
               const Announcement& aAnnouncement,
@@ -150,6 +161,7 @@
               Duration aRemaining) const;
 
   Entries mEntries;
+  std::bitset<kNameFilterBits> mNameFilter;
   Random mRandom;
   TimePoint mExpiredAt{};
   std::function<void(const Change&)> mOnChange;
--- a/src/TargetRanking.cpp
+++ b/src/TargetRanking.cpp
@@ -41,6 +41,7 @@
               TimePoint aNow)
 {
   return aRequest.mAnnouncements &&
+         aRequest.mAnnouncements->MayConcern(aTarget.NameHash()) &&
          aRequest.mAnnouncements->IsClosed(aTarget.Record(), aNow);
 }
 
