List again after a watch whose answer can't be read

A watch whose whole answer was malformed, or larger than 8 MiB, failed with an error after which it was repeated from the same position: a text that breaks the frame of the answer, or nine changes of an entry of 990 kB, would have kept an instance from all later changes until the store dropped that history.

--- a/src/ObjectStore.h
+++ b/src/ObjectStore.h
@@ -50,8 +50,8 @@
                                        StoreCondition aCondition) = 0;
   /// Waits up to `aTimeout` for writes after `aAfter`; an empty `aKind` watches
   /// all kinds. Errors: InvalidState if the store does not have the history
-  /// after `aAfter` or is in another era (list again), StoreUnavailable if it
-  /// did not answer.
+  /// after `aAfter`, is in another era, or gives an answer that can't be read
+  /// (list again), StoreUnavailable if it did not answer.
   virtual Awaitable<Result<StoreChanges>> Watch(std::string aKind,
                                                 StorePosition aAfter,
                                                 Duration aTimeout) = 0;
--- a/test/platform/PlatformStore.cpp
+++ b/test/platform/PlatformStore.cpp
@@ -238,3 +238,41 @@
     }
   }
 }
+
+// Guards against a watch that fails at the same position for ever: an answer
+// that can't be read, or is too large, as a whole.
+TEST_CASE("a watch whose answer can't be read asks for a listing")
+{
+  struct Row
+  {
+    std::string mCase;
+    std::string mSpec;
+    int mChanges;
+  };
+  const Row rows[] = {
+    { "a string without end", "{\"a\":\"b", 1 },
+    { "too large", "\"" + Repeated("a", 990'000) + "\"", 9 },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mCase);
+    Fixture fixture;
+    RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+      auto& server = fixture.mServer;
+      server.Set("servers", "i-0", { { "n", 0 } });
+      const StorePosition before{ { server.Era() }, server.Revision() };
+      for (int n = 0; n < row.mChanges; ++n) {
+        server.SetRaw("servers", "i-5", row.mSpec);
+      }
+      server.Erase("servers", "i-5");
+      auto changes = co_await fixture.mStore->Watch("servers", before, 1s);
+      CHECK_FALSE(changes);
+      if (!changes) {
+        CHECK(changes.error().mCode == ResultCode::InvalidState);
+      }
+      auto listing =
+        co_await fixture.mStore->List("servers", ReadFreshness::Current);
+      CHECK(listing);
+      server.Stop();
+    });
+  }
+}
