--- a/test/platform/PlatformRecords.cpp
+++ b/test/platform/PlatformRecords.cpp
@@ -1,6 +1,7 @@
 #include "PlatformRecords.h"
 
 #include "DeploymentPlatform.h"
+#include "OddEntries.h"
 #include "PlatformSettings.h"
 
 #include <doctest/doctest.h>
@@ -88,6 +89,11 @@
     { "/tenants/0/apiKeys/0", 5 },
     { "/tenants/0/ratePerS", "fast" },
     { "/limits/maxBodyBytes", -5 },
+    { "/limits/maxHeaderBytes", 4294967297 },
+    { "/routes/0/maxAttempts", 4294967297 },
+    { "/routes/0/priority", 1e300 },
+    { "/services/0/maxConns", 4294967297 },
+    { "/tenants/0/priority", 4294967297 },
   };
   for (const auto& it : rows) {
     CAPTURE(it.mPointer);
@@ -135,6 +141,12 @@
     { "address", "host:80" },
     { "slots", 1.5 },
     { "slots", "9" },
+    { "slots", 1e300 },
+    { "slots", 4294967297 },
+    { "slots", 1000000 },
+    { "born", 1e300 },
+    { "born", 99999999999999 },
+    { "coldRemainingS", 1e300 },
     { "born", "yesterday" },
     { "coldRemainingS", "a while" },
   };
@@ -148,6 +160,26 @@
   CHECK_FALSE(ReadPlatformTarget("i-1", "\"text\""));
 }
 
+// Guards against a process that ends when a follower passes on a value that its
+// own reading would have refused.
+TEST_CASE("a value that can't be read names no target and no configuration")
+{
+  std::vector<std::string> values = { "{\"version\":1e999}",
+                                      "{\"version\":\"\xff\"}" };
+  for (const auto& it : OddEntries()) {
+    if (!it.mSpec.empty()) {
+      values.push_back(it.mSpec);
+    }
+  }
+  for (const auto& it : values) {
+    CAPTURE(it.substr(0, 200));
+    CHECK_FALSE(ReadPlatformConfiguration(it));
+    if (it.size() < 900'000 || it.front() == '[') {
+      CHECK_FALSE(ReadPlatformTarget("i-1", it));
+    }
+  }
+}
+
 // Guards against a record that registers no target because another writer left
 // its sequence out, and against a sequence that is read as 0.
 TEST_CASE("the sequence of a target record may be missing")
@@ -203,7 +235,15 @@
   REQUIRE(load);
   CHECK(load->Total() == 5);
   CHECK(load->mSlots == 8);
-  for (const char* text : { "", "3", "3,2", "3,2,", "a,b,c", ",," }) {
+  for (const char* text : { "",
+                            "3",
+                            "3,2",
+                            "3,2,",
+                            "a,b,c",
+                            ",,",
+                            "-1,0,8",
+                            "4294967295,1,8",
+                            "99999999999999999999,0,8" }) {
     CHECK_FALSE(platform.ReadLoad(text));
   }
 }
