Replace watches that may have gone silent in an outage

Cause: a watch waits for up to 25 s. One whose answer is lost, or that waits at a restored store for a revision given out later, is ended sooner by nothing: a version that other instances report starts a listing, but the silent watch was kept, so each later change needed a report again; and when the calls of another kind showed that the store had been away, the watch was not looked at. If all readers wait so, there is no report at all.

Change: a feed waits for its watch in a way that can be ended. It replaces the watch by one of 10 ms after a listing that a report caused, and when another kind's feed gets its first answer after a failure or one of a later era; at most once a second for the latter. The answer of a replaced watch is ignored.

Open: if all watches of all readers are silent and no call fails, a change is still missed for up to 25 s.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -223,6 +223,13 @@
 void GatewayServer::RelayFeed(const std::string& aKind, StateFeed& aFeed)
 {
   mRelay.Add(aKind, aFeed);
+  aFeed.OnReturned([this, returned = &aFeed] {
+    for (auto* it : { &mConfigurationFeed, &mTargetFeed, &mEvacuationFeed }) {
+      if (it != returned) {
+        it->CheckWatch();
+      }
+    }
+  });
   aFeed.OnAdvanced([this, aKind] {
     mRelay.WakeAll();
     // Instances whose reader has gone silent learn of the change from the
--- a/src/StateFeed.cpp
+++ b/src/StateFeed.cpp
@@ -7,6 +7,9 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <optional>
+#include <utility>
+
 namespace pollenway {
 
 namespace {
@@ -17,13 +20,28 @@
 constexpr Duration kMaxWatchDelay = std::chrono::milliseconds(800);
 /// Minimum time between two listings in addition to the watch.
 constexpr Duration kRefreshInterval = std::chrono::seconds(1);
-/// Maximum wait of the first watch after a failure. The store may have been
-/// restored and have given out the watch's revision again; only its answer
-/// tells its era.
+/// Minimum time between two replacements of a watch that may have gone silent.
+constexpr Duration kReplacementInterval = std::chrono::seconds(1);
+/// Maximum wait of the first watch after a failure or a silent watch. The store
+/// may have been restored and have given out the watch's revision again; only
+/// its answer tells its era.
 constexpr Duration kEraCheckWait = std::chrono::milliseconds(10);
 
 } // namespace
 
+struct StateFeed::PendingWatch
+{
+  explicit PendingWatch(asio::any_io_executor aExecutor)
+    : mEnd(aExecutor, asio::steady_timer::time_point::max())
+  {
+  }
+
+  /// Cancelled when the watch has ended or is replaced.
+  asio::steady_timer mEnd;
+  bool mIsReplaced = false;
+  std::optional<Result<StoreChanges>> mChanges;
+};
+
 StateFeed::StateFeed(asio::any_io_executor aExecutor,
                      ObjectStore& aStore,
                      ObjectStore& aSource,
@@ -114,10 +132,24 @@
 Awaitable<bool> StateFeed::Watch()
 {
   const StorePosition after = mPosition;
-  const Duration timeout = mLost
+  const bool isCheck = mLost || std::exchange(mIsWatchReplaced, false);
+  const Duration timeout = isCheck
                              ? std::min(kEraCheckWait, mOptions.mWatchTimeout)
                              : mOptions.mWatchTimeout;
-  auto changes = co_await mSource.Watch(mOptions.mKind, after, timeout);
+  const auto pending = std::make_shared<PendingWatch>(mExecutor);
+  mPendingWatch = pending;
+  Spawn(mExecutor, RunWatch(pending, after, timeout));
+  while (!pending->mChanges && !pending->mIsReplaced) {
+    ErrorCode ec;
+    co_await pending->mEnd.async_wait(Into(ec));
+  }
+  mPendingWatch.reset();
+  if (!pending->mChanges) {
+    // The answer of the replaced watch is ignored if it comes.
+    mIsWatchReplaced = true;
+    co_return true;
+  }
+  auto& changes = *pending->mChanges;
   if (!changes) {
     if (changes.error().mCode == ResultCode::InvalidState) {
       if (mPosition != after) {
@@ -161,6 +193,31 @@
   co_return true;
 }
 
+Awaitable<void> StateFeed::RunWatch(std::shared_ptr<PendingWatch> aWatch,
+                                    StorePosition aAfter,
+                                    Duration aTimeout)
+{
+  auto changes = co_await mSource.Watch(mOptions.mKind, aAfter, aTimeout);
+  aWatch->mChanges.emplace(std::move(changes));
+  aWatch->mEnd.cancel();
+}
+
+void StateFeed::ReplaceWatch()
+{
+  if (mPendingWatch) {
+    mReplacedAt = SteadyNow();
+    mPendingWatch->mIsReplaced = true;
+    mPendingWatch->mEnd.cancel();
+  }
+}
+
+void StateFeed::CheckWatch()
+{
+  if (!mLost && SteadyNow() - mReplacedAt >= kReplacementInterval) {
+    ReplaceWatch();
+  }
+}
+
 Awaitable<void> StateFeed::Pause(Duration aTime)
 {
   asio::steady_timer timer(mExecutor, aTime);
@@ -207,6 +264,7 @@
   const bool succeeded = co_await List(mStore);
   if (succeeded) {
     mExpectedVersion = {};
+    ReplaceWatch();
   }
 }
 
@@ -242,6 +300,9 @@
   Log(LogLevel::Info,
       "store_regained",
       { { "kind", mOptions.mKind }, { "revision", mPosition.mRevision } });
+  if (mOnReturned) {
+    mOnReturned();
+  }
 }
 
 void StateFeed::OnRestored(StorePosition aPosition)
@@ -254,6 +315,9 @@
         { "revision", aPosition.mRevision },
         { "previous_era", mPosition.mEra.mValue },
         { "previous_revision", mPosition.mRevision } });
+  if (mOnReturned) {
+    mOnReturned();
+  }
 }
 
 } // namespace pollenway
--- a/src/StateFeed.h
+++ b/src/StateFeed.h
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace pollenway {
@@ -74,6 +75,17 @@
   uint64_t Revision() const { return mPosition.mRevision; }
   StorePosition Position() const { return mPosition; }
   const ObjectHistory& History() const { return mHistory; }
+  /// Sets the callback for the first answer after a failure of the store, and
+  /// for its return from an older copy. Other watches that were open meanwhile
+  /// may never be answered.
+  void OnReturned(std::function<void()> aCallback)
+  {
+    mOnReturned = std::move(aCallback);
+  }
+  /// Replaces the pending watch by a short one, because it may have gone
+  /// silent. Does nothing while there is none, while the store is lost, and for
+  /// a time after the last replacement.
+  void CheckWatch();
   /// Sets the callback for each change of the history and for the loss of the
   /// store.
   void OnAdvanced(std::function<void()> aCallback)
@@ -88,6 +100,8 @@
   void ExpectVersion(StorePosition aVersion, TimePoint aNow);
 
 private:
+  struct PendingWatch;
+
   Awaitable<void> Run();
   Awaitable<bool> List(ObjectStore& aStore);
   /// Returns true if a listing is older than what this feed has received.
@@ -96,6 +110,10 @@
   bool IsRefusedAgain() const { return mRefusedWatches >= 2; }
   Awaitable<void> Refresh();
   Awaitable<bool> Watch();
+  Awaitable<void> RunWatch(std::shared_ptr<PendingWatch> aWatch,
+                           StorePosition aAfter,
+                           Duration aTimeout);
+  void ReplaceWatch();
   Awaitable<void> Pause(Duration aTime);
   void OnStoreFailure(const Error& aError);
   void OnStoreAnswer();
@@ -108,6 +126,10 @@
   Options mOptions;
   Callbacks mCallbacks;
   std::function<void()> mOnAdvanced;
+  std::function<void()> mOnReturned;
+  std::shared_ptr<PendingWatch> mPendingWatch;
+  bool mIsWatchReplaced = false;
+  TimePoint mReplacedAt{};
   ObjectHistory mHistory;
   bool mHasListing = false;
   bool mNeedsListing = true;
--- a/test/platform/StateFeed.cpp
+++ b/test/platform/StateFeed.cpp
@@ -99,6 +99,30 @@
   });
 }
 
+// Guards against a feed that keeps waiting for a watch that has gone silent: it
+// would learn of each later change only from the reports of other instances.
+TEST_CASE("a watch that has missed a version is replaced")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    fixture.mServer.Set("k", "a", 1);
+    co_await fixture.Pause(300ms);
+    fixture.mServer.LoseWatches("k");
+    fixture.mServer.Set("k", "b", 1);
+    const StorePosition reported{ { 1 }, fixture.mServer.Revision() };
+    fixture.mFeed->ExpectVersion(reported, SteadyNow());
+    fixture.mFeed->ExpectVersion(reported, SteadyNow() + 900ms);
+    co_await fixture.Pause(200ms);
+    CHECK(fixture.mNames.back() == "b");
+    const unsigned calls = fixture.mServer.mCalls;
+    fixture.mServer.Set("k", "c", 1);
+    co_await fixture.Pause(200ms);
+    CHECK(fixture.mNames.back() == "c");
+    CHECK(fixture.mServer.mCalls - calls <= 1);
+    fixture.mServer.Stop();
+  });
+}
+
 // Guards against calls without a delay while the store is unavailable, and
 // against a feed that does not recover.
 TEST_CASE("an outage is detected and retried with delays, and its end detected")
--- a/test/platform/StoreStandIn.h
+++ b/test/platform/StoreStandIn.h
@@ -89,6 +89,9 @@
     mHistory.clear();
     ++mHistoryDropped;
   }
+  /// Loses the answers of the watches of a kind that wait now: they are never
+  /// answered, although their connections stay open.
+  void LoseWatches(const std::string& aKind) { ++mLostWatches[aKind]; }
   /// Keeps a copy of the present state for `Restore`.
   void Keep() { mKept = { mKinds, mHistory, mRevision }; }
   /// Goes back to the kept copy and begins a new era. Revisions are given out
@@ -254,6 +257,7 @@
   {
     const uint64_t after = *aTarget.Number("watch");
     const unsigned dropped = mHistoryDropped;
+    const unsigned lost = mLostWatches[aTarget.mSegments[1]];
     const uint64_t oldest =
       mHistory.empty() ? mRevision : mHistory.front().mRevision - 1;
     if (after < oldest || after > mRevision || mFaults.mRefuseWatches) {
@@ -266,6 +270,9 @@
     while (events.empty() && std::chrono::steady_clock::now() < end &&
            !mStopped) {
       co_await Pause();
+      while (mLostWatches[aTarget.mSegments[1]] > lost && !mStopped) {
+        co_await Pause();
+      }
       if (mHistoryDropped > dropped) {
         // The platform closes the watches whose history it drops or replaces.
         aConnection.Abort();
@@ -316,6 +323,7 @@
   uint64_t mEra = 1;
   Copy mKept;
   unsigned mHistoryDropped = 0;
+  std::map<std::string, unsigned> mLostWatches;
   bool mIsListingHeld = false;
   std::function<void()> mOnPage;
   bool mStopped = false;
