Relay requests through another instance without a path to the targets

Some instances lose their paths to all targets for seconds, while callers, the store and the other instances still reach them.

Such an instance now sends its requests through another one. Each instance listens for them on the second of its internal ports. The first instance counts the request (rate, demand, retry budget), chooses its service and passes on the remaining attempts and time; the other one checks it against its own routing table, chooses the target and answers. An answer of a target passes unchanged, with the checks of id and signature. A refusal carries its code, so that the first instance knows whether the request may have run: if not, it tries another instance; if nobody is left, the caller gets 503 with Retry-After and never the 401 or 404 of another configuration. A relayed request always goes directly to a target, so there is one hop at most.

Relayed requests have their own limits of requests in flight and body memory, count as busy in a planned stop, and are cancelled when the caller leaves. Fields between instances are removed from callers' requests and from targets' answers.

--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -3,6 +3,7 @@
 #include "ByteBudget.h"
 #include "HttpTypes.h"
 #include "Ids.h"
+#include "IpEndpoint.h"
 #include "RequestFingerprint.h"
 #include "RequestStage.h"
 #include "RoutingTable.h"
@@ -40,6 +41,18 @@
   TimePoint mAnswerDeadline{};
   RequestStage mStage = RequestStage::ReadingBody;
   std::vector<TargetName> mTried;
+  /// True if another instance has received the request from its caller and
+  /// counted it.
+  bool mIsRelayed = false;
+  /// Maximum number of attempts at targets.
+  unsigned mMaxAttempts = 0;
+  /// The instances through which the request was sent.
+  std::vector<IpEndpoint> mTriedPeers;
+  /// Connections that failed before anything was sent.
+  unsigned mConnectFailures = 0;
+  /// True if the current attempt was cancelled because no target can be reached
+  /// directly.
+  bool mPathLost = false;
   unsigned mAttempts = 0;
   bool mMayHaveRun = false;
   bool mCallerGone = false;
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -2,6 +2,7 @@
 
 #include "ForwardedRequest.h"
 #include "HashOf.h"
+#include "HeaderNames.h"
 #include "HttpHeaders.h"
 #include "SteadyTime.h"
 #include "TargetExchange.h"
@@ -33,6 +34,8 @@
 /// sent. Such attempts reach no target and don't count towards the route's
 /// maximum number of attempts.
 constexpr unsigned kMaxConnectFailures = 3;
+/// Maximum number of other instances through which a request is sent.
+constexpr size_t kMaxPeers = 3;
 /// Retry hint for callers whose request found no free slot: about the time
 /// within which a slot becomes free.
 constexpr Duration kNoSlotRetryAfter = 250ms;
@@ -105,8 +108,20 @@
   , mState(aState)
   , mServer(aExecutor,
             HttpLimits(),
-            [this](HttpConnection& aConnection) { return Handle(aConnection); })
+            [this](HttpConnection& aConnection) {
+              return Handle(aConnection, false);
+            })
   , mPool(aExecutor, PoolOptions(aState.mSettings.mMaxSockets))
+  , mRelayListener(
+      aExecutor,
+      { .mMaxSockets = aState.mSettings.mMaxSockets,
+        .mMemoryBytes = aState.mSettings.mMemoryBytes },
+      [this](HttpConnection& aConnection) { return Handle(aConnection, true); })
+  , mRelay(aExecutor,
+           { .mPort = aState.mSettings.mRelayPort,
+             .mMaxSockets = aState.mSettings.mMaxSockets,
+             .mSeed = HashOf({ aState.mSettings.mName.Text() }) },
+           aState.mRelay)
   , mBodyMemory(aState.mSettings.mMemoryBytes / kBodyMemoryDivisor)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
 {
@@ -115,17 +130,30 @@
 Result<void> GatewayFrontend::Listen()
 {
   const auto& endpoint = mState.mSettings.mCallerEndpoint;
-  return mServer.Listen(endpoint.mAddress, endpoint.mPort);
+  BOOST_OUTCOME_TRYV(mServer.Listen(endpoint.mAddress, endpoint.mPort));
+  if (mState.mSettings.mRelayPort == 0) {
+    return outcome::success();
+  }
+  return mRelayListener.Server().Listen(mState.mSettings.mAddress,
+                                        mState.mSettings.mRelayPort);
 }
 
 void GatewayFrontend::SetTable(std::shared_ptr<const RoutingTable> aTable)
 {
   mTable = std::move(aTable);
   const auto& limits = mTable->Limits();
-  mServer.SetLimits({ .mHeaderBytes = limits.mHeaderBytes,
-                      .mHeaderTimeout = limits.mHeaderTimeout,
-                      .mKeepAliveTimeout = limits.mIdleTimeout,
-                      .mIdleTimeout = limits.mHeaderTimeout });
+  const HttpLimits httpLimits{ .mHeaderBytes = limits.mHeaderBytes,
+                               .mHeaderTimeout = limits.mHeaderTimeout,
+                               .mKeepAliveTimeout = limits.mIdleTimeout,
+                               .mIdleTimeout = limits.mHeaderTimeout };
+  mServer.SetLimits(httpLimits);
+  mRelayListener.SetLimits(httpLimits);
+}
+
+void GatewayFrontend::DropIdleConnections()
+{
+  mPool.CloseExpired();
+  mRelay.DropIdleConnections();
 }
 
 void GatewayFrontend::DropConnections(const RegisteredTarget& aTarget)
@@ -170,9 +198,15 @@
     .first->second;
 }
 
-Awaitable<void> GatewayFrontend::Handle(HttpConnection& aConnection)
+Awaitable<void> GatewayFrontend::Handle(HttpConnection& aConnection,
+                                        bool aIsRelayed)
 {
+  std::optional<RelayListener::Slot> slot;
+  if (aIsRelayed) {
+    slot.emplace(mRelayListener);
+  }
   auto request = std::make_shared<ForwardedRequest>();
+  request->mIsRelayed = aIsRelayed;
   request->mReceivedAt = SteadyNow();
   request->mHeader = aConnection.Header();
   request->mId =
@@ -200,6 +234,37 @@
     }
   }
   mServer.CancelBodies();
+  mRelayListener.Server().CancelBodies();
+}
+
+size_t GatewayFrontend::BusyConnections() const
+{
+  return mServer.BusyConnections() + mRelayListener.Server().BusyConnections();
+}
+
+void GatewayFrontend::EndConnectionsAfterAnswers()
+{
+  mServer.EndConnectionsAfterAnswers();
+  mRelayListener.Server().EndConnectionsAfterAnswers();
+}
+
+void GatewayFrontend::StopGracefully()
+{
+  mServer.StopGracefully();
+  mRelayListener.Server().StopGracefully();
+}
+
+void GatewayFrontend::LeaveDirectPath()
+{
+  for (const auto& it : mActive) {
+    const bool isRepeatable =
+      it->mRule && it->mRule->mExecution == RouteExecution::Idempotent;
+    if (isRepeatable && !it->mIsRelayed && it->mExchange &&
+        it->mExchange->IsDirect() && it->mStage == RequestStage::AtTarget) {
+      it->mPathLost = true;
+      it->mExchange->Cancel();
+    }
+  }
 }
 
 void GatewayFrontend::LogCutRequests()
@@ -260,16 +325,38 @@
         mState.mPlatform.ReadDeadline(View(aHeader[fields.mDeadline]))) {
     timeout = std::min(timeout, *left);
   }
+  aRequest.mMaxAttempts = aRequest.mRule->mMaxAttempts;
   aRequest.mAnswerDeadline = aRequest.mReceivedAt + timeout;
   aRequest.mDeadline = std::min(aRequest.mAnswerDeadline, mLatestDeadline);
   return outcome::success();
 }
 
+Result<void> GatewayFrontend::CheckRelayed(ForwardedRequest& aRequest) const
+{
+  if (!mState.mAcceptsRelayed()) {
+    return Error{ ResultCode::PeerUnavailable,
+                  "this instance stops or reaches no targets itself",
+                  {} };
+  }
+  if (mRelayListener.IsFull()) {
+    return Error{ ResultCode::QueueFull,
+                  "too many relayed requests are in flight",
+                  {} };
+  }
+  return mRelayListener.ReadFields(aRequest);
+}
+
 Awaitable<Result<void>> GatewayFrontend::ReadBody(HttpConnection& aConnection,
                                                   ForwardedRequest& aRequest)
 {
-  const uint64_t limit =
+  auto& memory =
+    aRequest.mIsRelayed ? mRelayListener.BodyMemory() : mBodyMemory;
+  uint64_t limit =
     mTable ? mTable->Limits().mBodyBytes : CallerLimits().mBodyBytes;
+  if (aRequest.mIsRelayed) {
+    // The first instance has applied the limit of its configuration.
+    limit = mRelayListener.MaxBodyBytes();
+  }
   const auto length = aConnection.BodyLength();
   if (length.value_or(0) > limit) {
     co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
@@ -277,7 +364,7 @@
   if (length != 0) {
     // The length of a chunked body is unknown until its end.
     aRequest.mBodyMemory =
-      mBodyMemory.Reserve(length.value_or(kAssumedChunkedBytes));
+      memory.Reserve(length.value_or(kAssumedChunkedBytes));
     if (!aRequest.mBodyMemory) {
       co_return Error{ ResultCode::QueueFull,
                        "the memory for request bodies is used up",
@@ -296,6 +383,9 @@
                                                ForwardedRequest& aRequest)
 {
   auto checked = CheckRoute(aRequest.mHeader, aRequest);
+  if (checked && aRequest.mIsRelayed) {
+    checked = CheckRelayed(aRequest);
+  }
   // The body of a refused request is read as well, so that the caller can reuse
   // its connection.
   auto body = co_await ReadBody(aConnection, aRequest);
@@ -315,14 +405,12 @@
                      "the request has broken off several targets",
                      {} };
   }
-  if (aRequest.mWorkspace &&
-      !mState.mQuota.Admit(aRequest.mWorkspace->mName, SteadyNow())) {
-    co_return Error{ ResultCode::RateExceeded,
-                     "the workspace is above its rate",
-                     {} };
+  if (!aRequest.mIsRelayed) {
+    auto counted = Count(aRequest);
+    if (!counted) {
+      co_return counted.error();
+    }
   }
-  aRequest.mService = mSplitter.Next(*aRequest.mRule);
-  mState.mDemand.OnRequest(aRequest.mService);
   const auto cookie = CookieValue(View(aRequest.mHeader[http::field::cookie]),
                                   mState.mPlatform.Fields().mObjectCookie);
   const std::string_view object = cookie.empty() ? aRequest.mId : cookie;
@@ -330,6 +418,20 @@
   co_return outcome::success();
 }
 
+Result<void> GatewayFrontend::Count(ForwardedRequest& aRequest)
+{
+  if (aRequest.mWorkspace &&
+      !mState.mQuota.Admit(aRequest.mWorkspace->mName, SteadyNow())) {
+    return Error{ ResultCode::RateExceeded,
+                  "the workspace is above its rate",
+                  {} };
+  }
+  aRequest.mService = mSplitter.Next(*aRequest.mRule);
+  mState.mDemand.OnRequest(aRequest.mService);
+  BudgetOf(aRequest.mService).OnRequest();
+  return outcome::success();
+}
+
 std::shared_ptr<TargetState> GatewayFrontend::ChooseTarget(
   ForwardedRequest& aRequest)
 {
@@ -423,88 +525,169 @@
   HttpConnection& aConnection,
   std::shared_ptr<ForwardedRequest> aRequest)
 {
-  auto& request = *aRequest;
-  request.mStage = RequestStage::AtTarget;
-  const bool isRepeatable =
-    request.mRule->mExecution == RouteExecution::Idempotent;
-  auto& budget = BudgetOf(request.mService);
-  budget.OnRequest();
-  const RetryPolicy policy({ .mMaxAttempts = request.mRule->mMaxAttempts });
-  unsigned connectFailures = 0;
-  for (;;) {
-    const auto target = ChooseTarget(request);
-    if (!target) {
-      co_await Refuse(aConnection,
-                      request,
-                      request.mMayHaveRun ? ResultCode::BackendConnectionLost
-                                          : ResultCode::NoTarget,
-                      "no target may get the request now");
-      co_return;
-    }
-    request.mTried.push_back(target->Record().mName);
-    TargetExchange exchange(mPool, mState.mPlatform, target);
-    request.mExchange = &exchange;
-    const TimePoint sentAt = SteadyNow();
-    const double load = target->EstimatedLoad(sentAt);
-    auto answer = co_await exchange.Run(MakeTargetRequest(request, *target),
-                                        isRepeatable ? kMaxIdleRepeatable
-                                                     : kMaxIdleUnrepeatable,
-                                        request.mDeadline,
-                                        request.mDeadline + kAnswerGrace);
-    request.mExchange = nullptr;
-    if (request.mCallerGone) {
-      LogEnd(
-        request, ResultCode::BackendConnectionLost, "the caller disconnected");
-      co_return;
-    }
-    if (!answer.mFailure &&
-        (answer.mHeader.result() == http::status::misdirected_request ||
-         !answer.mHeader[mState.mPlatform.Fields().mNotRun].empty())) {
-      answer.mFailure = AttemptFailure::Shed;
-    }
-    RecordAttempt(request, answer, *target, SteadyNow() - sentAt, load);
-    const bool isServerError =
-      !answer.mFailure && answer.mHeader.result_int() >= 500;
-    if (!answer.mFailure && !(isServerError && isRepeatable)) {
-      ++request.mAttempts;
-      co_await Deliver(aConnection, request, exchange, std::move(answer));
-      co_return;
-    }
-    if (answer.mFailure == AttemptFailure::ConnectFailed &&
-        ++connectFailures <= kMaxConnectFailures &&
-        SteadyNow() < request.mDeadline) {
-      continue;
+  aRequest->mStage = RequestStage::AtTarget;
+  bool isDone = false;
+  while (!isDone) {
+    if (!aRequest->mIsRelayed && mRelay.IsNeeded()) {
+      isDone = co_await ForwardToPeer(aConnection, *aRequest);
+    } else {
+      isDone = co_await ForwardToTarget(aConnection, *aRequest);
     }
-    ++request.mAttempts;
-    const AttemptReport report{
-      .mExecution = request.mRule->mExecution,
-      .mFailure = answer.mFailure.value_or(AttemptFailure::AnswerCut),
-      .mBytesSent = answer.mBytesSent,
-      .mEarlierMayHaveRun = request.mMayHaveRun,
-      .mAttempts = request.mAttempts,
-      .mDeadline = request.mDeadline,
-    };
-    const auto decision = policy.Decide(report, budget, SteadyNow());
-    request.mMayHaveRun = decision.mMayHaveRun;
-    if (decision.mRetry && !mState.mCrashes.IsRefused(request.mFingerprint)) {
-      continue;
-    }
-    if (isServerError) {
-      co_await Deliver(aConnection, request, exchange, std::move(answer));
-      co_return;
-    }
-    ResultCode code =
-      decision.mRetry ? ResultCode::BackendConnectionLost : decision.mCode;
-    if (code == ResultCode::DeadlineBeforeStart &&
-        request.mDeadline < request.mAnswerDeadline) {
-      // The caller may have more time than this instance.
-      code = ResultCode::Stopping;
-    }
-    co_await Refuse(aConnection, request, code, answer.mDetail);
-    co_return;
   }
 }
 
+Awaitable<bool> GatewayFrontend::ForwardToTarget(HttpConnection& aConnection,
+                                                 ForwardedRequest& aRequest)
+{
+  const bool isRepeatable =
+    aRequest.mRule->mExecution == RouteExecution::Idempotent;
+  const auto target = ChooseTarget(aRequest);
+  if (!target) {
+    co_await Refuse(aConnection,
+                    aRequest,
+                    aRequest.mMayHaveRun ? ResultCode::BackendConnectionLost
+                                         : ResultCode::NoTarget,
+                    "no target may get the request now");
+    co_return true;
+  }
+  aRequest.mTried.push_back(target->Record().mName);
+  TargetExchange exchange(mPool, mState.mPlatform, target);
+  aRequest.mExchange = &exchange;
+  const TimePoint sentAt = SteadyNow();
+  const double load = target->EstimatedLoad(sentAt);
+  auto answer = co_await exchange.Run(MakeTargetRequest(aRequest, *target),
+                                      isRepeatable ? kMaxIdleRepeatable
+                                                   : kMaxIdleUnrepeatable,
+                                      aRequest.mDeadline,
+                                      aRequest.mDeadline + kAnswerGrace);
+  aRequest.mExchange = nullptr;
+  if (aRequest.mCallerGone) {
+    LogEnd(
+      aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
+    co_return true;
+  }
+  if (!answer.mFailure &&
+      (answer.mHeader.result() == http::status::misdirected_request ||
+       !answer.mHeader[mState.mPlatform.Fields().mNotRun].empty())) {
+    answer.mFailure = AttemptFailure::Shed;
+  }
+  RecordAttempt(aRequest, answer, *target, SteadyNow() - sentAt, load);
+  if (std::exchange(aRequest.mPathLost, false) &&
+      answer.mFailure == AttemptFailure::Timeout && !mEndingRequests) {
+    answer.mFailure = answer.mBytesSent ? AttemptFailure::ConnectionLost
+                                        : AttemptFailure::ConnectFailed;
+  }
+  const bool isServerError =
+    !answer.mFailure && answer.mHeader.result_int() >= 500;
+  if (!answer.mFailure && !(isServerError && isRepeatable)) {
+    ++aRequest.mAttempts;
+    co_await Deliver(aConnection, aRequest, exchange, std::move(answer));
+    co_return true;
+  }
+  if (answer.mFailure == AttemptFailure::ConnectFailed &&
+      ++aRequest.mConnectFailures <= kMaxConnectFailures &&
+      SteadyNow() < aRequest.mDeadline) {
+    co_return false;
+  }
+  ++aRequest.mAttempts;
+  const auto code = DecideRetry(aRequest, answer);
+  if (!code) {
+    co_return false;
+  }
+  if (isServerError) {
+    co_await Deliver(aConnection, aRequest, exchange, std::move(answer));
+  } else {
+    co_await Refuse(aConnection, aRequest, *code, answer.mDetail);
+  }
+  co_return true;
+}
+
+Awaitable<bool> GatewayFrontend::ForwardToPeer(HttpConnection& aConnection,
+                                               ForwardedRequest& aRequest)
+{
+  const auto refusal = aRequest.mMayHaveRun ? ResultCode::BackendConnectionLost
+                                            : ResultCode::NoTarget;
+  const auto peer = mRelay.Choose(aRequest.mTriedPeers, SteadyNow());
+  if (!peer || aRequest.mTriedPeers.size() >= kMaxPeers) {
+    co_await Refuse(aConnection,
+                    aRequest,
+                    refusal,
+                    "no target can be reached directly, and no other instance "
+                    "can forward the request");
+    co_return true;
+  }
+  aRequest.mTriedPeers.push_back(*peer);
+  RequestRelay::Attempt attempt(mRelay, *peer);
+  TargetExchange exchange = attempt.MakeExchange(mState.mPlatform);
+  aRequest.mExchange = &exchange;
+  const TimePoint sentAt = SteadyNow();
+  const bool isRepeatable =
+    aRequest.mRule->mExecution == RouteExecution::Idempotent;
+  auto answer = co_await exchange.Run(
+    mRelay.MakeRequest(
+      aRequest,
+      mState.mPlatform,
+      std::max(1u, aRequest.mMaxAttempts - aRequest.mAttempts)),
+    isRepeatable ? kMaxIdleRepeatable : kMaxIdleUnrepeatable,
+    aRequest.mDeadline,
+    aRequest.mDeadline + kAnswerGrace);
+  aRequest.mExchange = nullptr;
+  if (aRequest.mCallerGone) {
+    LogEnd(
+      aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
+    co_return true;
+  }
+  const unsigned attempts = RequestRelay::ReadRefusal(answer);
+  mRelay.OnResult(*peer, answer, SteadyNow());
+  mLog.OnRelayed(aRequest, *peer, answer, SteadyNow() - sentAt, SteadyNow());
+  if (!answer.mFailure) {
+    aRequest.mAttempts += std::max(1u, attempts);
+    co_await Deliver(aConnection, aRequest, exchange, std::move(answer));
+    co_return true;
+  }
+  const bool reachedTarget = answer.mBytesSent || attempts > 0;
+  if (!reachedTarget && *answer.mFailure != AttemptFailure::Timeout &&
+      SteadyNow() < aRequest.mDeadline) {
+    co_return false;
+  }
+  aRequest.mAttempts += reachedTarget ? std::max(1u, attempts) : 0;
+  const auto code = DecideRetry(aRequest, answer);
+  if (!code) {
+    co_return false;
+  }
+  co_await Refuse(aConnection, aRequest, *code, answer.mDetail);
+  co_return true;
+}
+
+std::optional<ResultCode> GatewayFrontend::DecideRetry(
+  ForwardedRequest& aRequest,
+  const TargetAnswer& aAnswer)
+{
+  const RetryPolicy policy({ .mMaxAttempts = aRequest.mMaxAttempts });
+  const AttemptReport report{
+    .mExecution = aRequest.mRule->mExecution,
+    .mFailure = aAnswer.mFailure.value_or(AttemptFailure::AnswerCut),
+    .mBytesSent = aAnswer.mBytesSent,
+    .mEarlierMayHaveRun = aRequest.mMayHaveRun,
+    .mAttempts = aRequest.mAttempts,
+    .mDeadline = aRequest.mDeadline,
+  };
+  const auto decision =
+    policy.Decide(report, BudgetOf(aRequest.mService), SteadyNow());
+  aRequest.mMayHaveRun = decision.mMayHaveRun;
+  if (decision.mRetry && !mState.mCrashes.IsRefused(aRequest.mFingerprint)) {
+    return std::nullopt;
+  }
+  const auto code =
+    decision.mRetry ? ResultCode::BackendConnectionLost : decision.mCode;
+  if (code == ResultCode::DeadlineBeforeStart &&
+      aRequest.mDeadline < aRequest.mAnswerDeadline) {
+    // The caller may have more time than this instance.
+    return ResultCode::Stopping;
+  }
+  return code;
+}
+
 Awaitable<void> GatewayFrontend::Deliver(HttpConnection& aConnection,
                                          ForwardedRequest& aRequest,
                                          TargetExchange& aExchange,
@@ -523,6 +706,12 @@
     co_return;
   }
   RemoveHopFields(aAnswer.mHeader);
+  RemoveInternalFields(aAnswer.mHeader);
+  if (aRequest.mIsRelayed) {
+    aAnswer.mHeader.set(header::kRelayResult, "answer");
+    aAnswer.mHeader.set(header::kRelayAttempts,
+                        std::to_string(aRequest.mAttempts));
+  }
   aAnswer.mHeader.version(11);
   if (!aAnswer.mHasMore) {
     TextResponse answer(std::move(aAnswer.mHeader), std::move(aAnswer.mBody));
@@ -565,8 +754,13 @@
   if (!aRequest.mId.empty()) {
     answer.set(mState.mPlatform.Fields().mRequestId, aRequest.mId);
   }
+  if (aRequest.mIsRelayed) {
+    answer.set(header::kRelayResult, "refusal");
+    answer.set(header::kRelayAttempts, std::to_string(aRequest.mAttempts));
+  }
   const bool neverRan = OutcomeOf(aCode) == Outcome::NotRun;
-  if (neverRan && aRequest.mAttempts > 0 && aRequest.mWorkspace) {
+  if (neverRan && aRequest.mAttempts > 0 && aRequest.mWorkspace &&
+      !aRequest.mIsRelayed) {
     mState.mQuota.Refund(aRequest.mWorkspace->mName);
   }
   Duration retryAfter{};
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -8,7 +8,9 @@
 #include "HttpServer.h"
 #include "PlacementPlan.h"
 #include "PlatformAdapter.h"
+#include "RelayListener.h"
 #include "RequestLog.h"
+#include "RequestRelay.h"
 #include "RetryBudget.h"
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
@@ -17,8 +19,10 @@
 #include "WeightedSplitter.h"
 #include "WorkspaceQuota.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace pollenway {
@@ -42,10 +46,14 @@
     CrashLedger& mCrashes;
     ServiceDemand& mDemand;
     const PlacementPlan& mPlan;
+    RequestRelay::Sources mRelay = {};
+    /// Returns true if this instance serves requests that others relay.
+    std::function<bool()> mAcceptsRelayed = [] { return true; };
   };
 
   GatewayFrontend(asio::any_io_executor aExecutor, State aState);
 
+  /// Listens for callers and for the requests that other instances relay.
   Result<void> Listen();
   /// Sets the routing table for requests that arrive from now on.
   void SetTable(std::shared_ptr<const RoutingTable> aTable);
@@ -54,7 +62,10 @@
   /// Closes the idle connections to a removed target.
   void DropConnections(const RegisteredTarget& aTarget);
   /// Closes connections that have been idle for too long.
-  void DropIdleConnections() { mPool.CloseExpired(); }
+  void DropIdleConnections();
+  /// Cancels the attempts of repeatable requests at targets, so that they go
+  /// through another instance. Called when no target can be reached any more.
+  void LeaveDirectPath();
 
   /// Limits the time of attempts at targets that start from now on to
   /// `aDeadline`, because the process stops. Attempts in progress and answers
@@ -65,17 +76,26 @@
   /// whose bytes were being processed.
   void EndRequests();
   size_t CountActiveRequests() const { return mActive.size(); }
+  /// Returns the number of connections of callers and other instances with a
+  /// request in flight.
+  size_t BusyConnections() const;
+  /// Closes each connection after its next answer.
+  void EndConnectionsAfterAnswers();
+  /// Stops accepting, closes idle connections and lets requests in flight
+  /// finish.
+  void StopGracefully();
   /// Logs the requests that have no final answer yet. Called when the process
   /// ends.
   void LogCutRequests();
 
-  HttpServer& Server() { return mServer; }
   const HttpServer& Server() const { return mServer; }
+  const RelayListener& Relayed() const { return mRelayListener; }
+  const RequestRelay& Relay() const { return mRelay; }
   RequestLog& Requests() { return mLog; }
   const RequestLog& Requests() const { return mLog; }
 
 private:
-  Awaitable<void> Handle(HttpConnection& aConnection);
+  Awaitable<void> Handle(HttpConnection& aConnection, bool aIsRelayed);
   Awaitable<void> Process(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
   /// Reads the body and counts the request against the workspace's rate limit.
@@ -86,8 +106,23 @@
                                    ForwardedRequest& aRequest);
   Result<void> CheckRoute(const RequestHeader& aHeader,
                           ForwardedRequest& aRequest) const;
+  /// Refuses a relayed request that this instance can't serve now.
+  Result<void> CheckRelayed(ForwardedRequest& aRequest) const;
+  /// Counts the request of an own caller and chooses its service.
+  Result<void> Count(ForwardedRequest& aRequest);
   Awaitable<void> Forward(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
+  /// Makes one attempt at a target. Returns false if another attempt follows.
+  Awaitable<bool> ForwardToTarget(HttpConnection& aConnection,
+                                  ForwardedRequest& aRequest);
+  /// Makes one attempt through another instance. Returns false if another
+  /// attempt follows.
+  Awaitable<bool> ForwardToPeer(HttpConnection& aConnection,
+                                ForwardedRequest& aRequest);
+  /// Returns the code of the final refusal after a failed attempt; empty if the
+  /// request is retried.
+  std::optional<ResultCode> DecideRetry(ForwardedRequest& aRequest,
+                                        const struct TargetAnswer& aAnswer);
   std::shared_ptr<TargetState> ChooseTarget(ForwardedRequest& aRequest);
   std::shared_ptr<const TextRequest> MakeTargetRequest(
     const ForwardedRequest& aRequest,
@@ -115,6 +150,8 @@
   State mState;
   HttpServer mServer;
   HttpClientPool mPool;
+  RelayListener mRelayListener;
+  RequestRelay mRelay;
   ByteBudget mBodyMemory;
   RequestLog mLog;
   TargetRanking mRanking;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -83,7 +83,9 @@
                 mCold,
                 mCrashes,
                 mDemand,
-                mPlan })
+                mPlan,
+                {},
+                [this] { return !mStopping; } })
   , mDirectory(aIo.get_executor(),
                { mSettings,
                  mPlatform,
@@ -695,7 +697,7 @@
   mStopping = true;
   Log(LogLevel::Info,
       "stopping",
-      { { "busy_connections", mFrontend.Server().BusyConnections() } });
+      { { "busy_connections", mFrontend.BusyConnections() } });
   Spawn(mIo, StopLoop());
 }
 
@@ -709,19 +711,18 @@
   // The other instances stop listing this one in look-ups when they receive
   // this summary.
   mSummaries.Send();
-  mFrontend.Server().EndConnectionsAfterAnswers();
+  mFrontend.EndConnectionsAfterAnswers();
   co_await PauseUntil(begin + schedule.mCallersServed);
-  mFrontend.Server().StopGracefully();
+  mFrontend.StopGracefully();
   const TimePoint endRequestsAt = begin + schedule.mRequestsEnded;
-  while (SteadyNow() < endRequestsAt &&
-         mFrontend.Server().BusyConnections() > 0) {
+  while (SteadyNow() < endRequestsAt && mFrontend.BusyConnections() > 0) {
     co_await PauseUntil(
       std::min(SteadyNow() + kStopPollInterval, endRequestsAt));
   }
   // A process that was delayed still needs a turn in which answers are written.
   const TimePoint limit =
     std::max(begin + schedule.mProcessEnds, SteadyNow() + kFinalPollInterval);
-  while (mFrontend.Server().BusyConnections() > 0) {
+  while (mFrontend.BusyConnections() > 0) {
     mFrontend.EndRequests();
     co_await Pause(kFinalPollInterval);
     if (SteadyNow() >= limit) {
--- a/src/GatewaySettings.h
+++ b/src/GatewaySettings.h
@@ -45,6 +45,8 @@
   /// Address for messages between instances.
   std::string mAddress;
   uint16_t mPeerPort = 0;
+  /// Port for requests that other instances relay; 0 for none.
+  uint16_t mRelayPort = 0;
   IpEndpoint mCallerEndpoint;
   IpEndpoint mReadyEndpoint;
   IpEndpoint mLookupEndpoint;
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -124,6 +124,19 @@
   for (const auto& [result, count] : mSources.mFrontend.Requests().Attempts()) {
     writer.Sample({ { "result", result } }, count);
   }
+  writer.Begin("pollenway_relayed_attempts_total",
+               "counter",
+               "Attempts through other instances by result.");
+  for (const auto& [result, count] : mSources.mFrontend.Relay().Results()) {
+    writer.Sample({ { "result", result } }, count);
+  }
+  writer.Begin("pollenway_requests_for_peers_total",
+               "counter",
+               "Requests served for other instances by result code.");
+  for (const auto& [code, count] :
+       mSources.mFrontend.Requests().ServedForPeers()) {
+    writer.Sample({ { "code", code } }, count);
+  }
   writer.Begin("pollenway_targets", "gauge", "Targets that may get requests.");
   writer.Sample({}, uint64_t(mSources.mTargets.Size()));
   writer.Begin("pollenway_instances_live", "gauge", "Other live instances.");
--- a/src/HeaderNames.h
+++ b/src/HeaderNames.h
@@ -13,6 +13,10 @@
 constexpr char kIdempotencyKey[] = "Idempotency-Key";
 
 // Used between instances only; removed from callers' requests.
+constexpr char kRelayService[] = "Pollenway-Relay-Service";
+/// In a request: the remaining number of attempts. In an answer: the number of
+/// attempts that were made.
+constexpr char kRelayAttempts[] = "Pollenway-Relay-Attempts";
 constexpr char kRelayTarget[] = "Pollenway-Relay-Target";
 constexpr char kRelayHops[] = "Pollenway-Relay-Hops";
 constexpr char kRelayExecution[] = "Pollenway-Relay-Execution";
--- a/src/HttpHeaders.cpp
+++ b/src/HttpHeaders.cpp
@@ -25,7 +25,7 @@
   }
 }
 
-void RemovePrivateFields(http::fields& aFields)
+void RemoveInternalFields(http::fields& aFields)
 {
   static const beast::string_view kPrefix = "Pollenway-";
   std::vector<std::string> names;
@@ -39,6 +39,11 @@
   for (const auto& it : names) {
     aFields.erase(it);
   }
+}
+
+void RemovePrivateFields(http::fields& aFields)
+{
+  RemoveInternalFields(aFields);
   aFields.erase(http::field::authorization);
 }
 
--- a/src/HttpHeaders.h
+++ b/src/HttpHeaders.h
@@ -9,6 +9,9 @@
 /// Removes hop-by-hop fields, which apply to one connection only.
 void RemoveHopFields(http::fields& aFields);
 
+/// Removes the fields that are used between instances only.
+void RemoveInternalFields(http::fields& aFields);
+
 /// Removes fields with which a caller could impersonate another workspace or a
 /// peer, and the caller's key.
 void RemovePrivateFields(http::fields& aFields);
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -3,6 +3,7 @@
 #include "ForwardedRequest.h"
 #include "Logger.h"
 #include "RequestObserver.h"
+#include "TargetExchange.h"
 #include "TargetState.h"
 
 namespace pollenway {
@@ -43,6 +44,26 @@
         { "detail", aAttempt.mDetail } });
 }
 
+void RequestLog::OnRelayed(const ForwardedRequest& aRequest,
+                           const IpEndpoint& aPeer,
+                           const TargetAnswer& aAnswer,
+                           Duration aLatency,
+                           TimePoint aNow)
+{
+  if (!mLogRateLimit.Allow(aNow)) {
+    return;
+  }
+  Log(LogLevel::Info,
+      "attempt_relayed",
+      { { "id", aRequest.mId },
+        { "peer", aPeer.mAddress },
+        { "reason", "no_direct_path" },
+        { "result", aAnswer.mFailure ? Name(*aAnswer.mFailure) : "answered" },
+        { "sent", int(aAnswer.mBytesSent) },
+        { "ms", int64_t(ToSeconds(aLatency) * 1000) },
+        { "detail", aAnswer.mDetail } });
+}
+
 void RequestLog::OnEnd(const ForwardedRequest& aRequest,
                        ResultCode aCode,
                        std::string_view aDetail,
@@ -50,12 +71,16 @@
                        TimePoint aNow)
 {
   const Duration latency = aNow - aRequest.mReceivedAt;
-  mMetrics.OnRequest(aRequest.mService, aCode, latency);
+  if (aRequest.mIsRelayed) {
+    ++mServedForPeers[std::string(Name(aCode))];
+  } else {
+    mMetrics.OnRequest(aRequest.mService, aCode, latency);
+  }
   if (!mLogRateLimit.Allow(aNow)) {
     return;
   }
   Log(LogLevel::Info,
-      "request",
+      aRequest.mIsRelayed ? "request_for_peer" : "request",
       { { "id", aRequest.mId },
         { "route", aRequest.mRule ? aRequest.mRule->mName : std::string() },
         { "workspace",
--- a/src/RequestLog.h
+++ b/src/RequestLog.h
@@ -15,6 +15,8 @@
 namespace pollenway {
 
 struct ForwardedRequest;
+struct IpEndpoint;
+struct TargetAnswer;
 class TargetState;
 
 /// Logs and counts attempts and results of callers' requests. The number of log
@@ -41,6 +43,12 @@
                  const TargetState& aTarget,
                  const Attempt& aAttempt,
                  TimePoint aNow);
+  /// Called when an attempt through another instance has ended.
+  void OnRelayed(const ForwardedRequest& aRequest,
+                 const IpEndpoint& aPeer,
+                 const TargetAnswer& aAnswer,
+                 Duration aLatency,
+                 TimePoint aNow);
   /// Called when the request has its final answer or its caller disconnected.
   /// `aInputs` describes the values that a refusal is based on, if they are not
   /// in `aDetail`.
@@ -55,6 +63,11 @@
   /// Logs the number of lines suppressed since the last call.
   void LogSuppressed();
 
+  /// Number of requests served for other instances by result.
+  const std::map<std::string, uint64_t>& ServedForPeers() const
+  {
+    return mServedForPeers;
+  }
   const MetricsRegistry& Metrics() const { return mMetrics; }
   /// Number of attempts at targets by result.
   const std::map<std::string, uint64_t>& Attempts() const { return mAttempts; }
@@ -62,6 +75,7 @@
 private:
   MetricsRegistry mMetrics;
   std::map<std::string, uint64_t> mAttempts;
+  std::map<std::string, uint64_t> mServedForPeers;
   LogRateLimit mLogRateLimit;
 };
 
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -35,9 +35,20 @@
   mTarget->OnSent();
 }
 
+TargetExchange::TargetExchange(HttpClientPool& aPool,
+                               const PlatformAdapter& aPlatform,
+                               tcp::endpoint aPeer)
+  : mPool(aPool)
+  , mPlatform(aPlatform)
+  , mEndpoint(aPeer)
+{
+}
+
 TargetExchange::~TargetExchange()
 {
-  mTarget->OnEnded();
+  if (mTarget) {
+    mTarget->OnEnded();
+  }
   if (mConnection) {
     mPool.Release(mEndpoint, std::move(mConnection));
   }
@@ -71,7 +82,7 @@
     co_return answer;
   }
   mConnection = std::move(acquired.value());
-  if (mConnection->IsNew()) {
+  if (mTarget && mConnection->IsNew()) {
     mTarget->OnConnected(SteadyNow() - startedAt);
   }
   if (isTimeout) {
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -25,13 +25,18 @@
   std::string mDetail;
 };
 
-/// One attempt to run a request on a target.
+/// One attempt to run a request on a target, directly or through another
+/// instance.
 class TargetExchange
 {
 public:
   TargetExchange(HttpClientPool& aPool,
                  const PlatformAdapter& aPlatform,
                  std::shared_ptr<TargetState> aTarget);
+  /// Makes an exchange with another instance, which chooses the target.
+  TargetExchange(HttpClientPool& aPool,
+                 const PlatformAdapter& aPlatform,
+                 tcp::endpoint aPeer);
   ~TargetExchange();
 
   /// Sends the request by `aSendBy` and reads the answer until `aDeadline`.
@@ -48,6 +53,9 @@
   /// Cancels the attempt and closes its connection to the target.
   void Cancel();
   bool IsCancelled() const { return mCancelled; }
+  /// Returns true if the request is sent to its target, not to another
+  /// instance.
+  bool IsDirect() const { return mTarget != nullptr; }
 
 private:
   Awaitable<bool> ReadMatchingHeader(
@@ -63,6 +71,7 @@
 
   HttpClientPool& mPool;
   const PlatformAdapter& mPlatform;
+  /// Null if another instance chooses the target.
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
