Refuse a request that was never sent as not run, not as timed out

A 504 promises nothing, so callers could not repeat what may not run twice.

Cause: the code DeadlineBeforeStart has the outcome "not run" but the status 504, which suits a caller whose own time is over. The route's time may end seconds before the caller's. In this case the request is now refused with 503 and Retry-After.

A request whose connection was established and to which bytes were written still gets 502 or 504, since it may have run.

--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -39,6 +39,8 @@
   /// End of an answer that has begun. It is later than `mDeadline` if the
   /// process stops before the caller's time is over.
   TimePoint mAnswerDeadline{};
+  /// Time until which the caller waits; without a limit if it states none.
+  TimePoint mCallerDeadline = TimePoint::max();
   RequestStage mStage = RequestStage::ReadingBody;
   std::vector<TargetName> mTried;
   /// True if another instance has received the request from its caller and
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -324,6 +324,7 @@
   if (const auto left =
         mState.mPlatform.ReadDeadline(View(aHeader[fields.mDeadline]))) {
     timeout = std::min(timeout, *left);
+    aRequest.mCallerDeadline = aRequest.mReceivedAt + *left;
   }
   aRequest.mMaxAttempts = aRequest.mRule->mMaxAttempts;
   aRequest.mAnswerDeadline = aRequest.mReceivedAt + timeout;
@@ -685,6 +686,11 @@
     // The caller may have more time than this instance.
     return ResultCode::Stopping;
   }
+  if (code == ResultCode::DeadlineBeforeStart &&
+      aRequest.mDeadline < aRequest.mCallerDeadline) {
+    // The route's time is over, but the caller may repeat the request.
+    return ResultCode::NoTarget;
+  }
   return code;
 }
 
--- a/test/platform/GatewayForwarding.cpp
+++ b/test/platform/GatewayForwarding.cpp
@@ -1,5 +1,7 @@
 #include "GatewayFixture.h"
 
+#include <deque>
+
 using namespace pollenway;
 using namespace std::chrono_literals;
 
@@ -71,6 +73,32 @@
   co_return false;
 }
 
+/// A port at which connection attempts stay unanswered: its queue of completed
+/// connections is full.
+class SilentPort
+{
+public:
+  explicit SilentPort(asio::io_context& aIo)
+    : mAcceptor(aIo)
+  {
+    const tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    mAcceptor.open(any.protocol());
+    mAcceptor.bind(any);
+    mAcceptor.listen(0);
+    for (int n = 0; n < 2; ++n) {
+      mQueued.emplace_back(aIo);
+      mQueued.back().async_connect(mAcceptor.local_endpoint(),
+                                   [](const ErrorCode&) {});
+    }
+  }
+
+  uint16_t Port() const { return mAcceptor.local_endpoint().port(); }
+
+private:
+  tcp::acceptor mAcceptor;
+  std::deque<tcp::socket> mQueued;
+};
+
 } // namespace
 
 // Guards against keys that reach targets, workspace names that callers set, and
@@ -257,3 +285,47 @@
     CHECK(answer.result_int() == 200);
   });
 }
+
+// Guards against an answer from which a caller must conclude that its request
+// may have run, although no connection to a target was established in the
+// route's time.
+TEST_CASE("a request that was never sent is refused as not run")
+{
+  struct Row
+  {
+    const char* mPath;
+    /// Time that the caller states.
+    const char* mDeadlineMs;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "/safe/1", "5000", 503 },
+                       { "/once/1", "5000", 503 },
+                       { "/once/1", "", 503 },
+                       // Its time is over, so it could not repeat the request.
+                       { "/once/1", "900", 504 } };
+  GatewayFixture fixture(1);
+  SilentPort silent(fixture.mIo);
+  fixture.Configure();
+  for (int n = 0; n < 4; ++n) {
+    auto record = fixture.TargetRecord(0);
+    record["address"] = "127.0.0.1:" + std::to_string(silent.Port());
+    fixture.mStoreServer.Set("servers", "i-" + std::to_string(n), record);
+  }
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    for (const auto& it : rows) {
+      CAPTURE(it.mPath);
+      CAPTURE(it.mDeadlineMs);
+      auto request = fixture.Request(http::verb::post, it.mPath);
+      request.erase("X-Deadline-Ms");
+      if (*it.mDeadlineMs) {
+        request.set("X-Deadline-Ms", it.mDeadlineMs);
+      }
+      auto answer = co_await fixture.Exchange(std::move(request));
+      CHECK(answer.result_int() == it.mStatus);
+      CHECK(answer[http::field::retry_after].empty() == (it.mStatus != 503));
+      // Ends the pause of the targets after their failures.
+      co_await fixture.Pause(3s);
+    }
+  });
+}
