--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -52,6 +52,8 @@
   std::vector<IpEndpoint> mTriedPeers;
   /// Connections that failed before anything was sent.
   unsigned mConnectFailures = 0;
+  /// Time at which the last attempt at a target began.
+  TimePoint mSentAt{};
   /// True if the current attempt was cancelled because no target can be reached
   /// directly.
   bool mPathLost = false;
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -165,6 +165,20 @@
   }
 }
 
+Awaitable<void> GatewayFrontend::ProbeTarget(RegisteredTarget aTarget)
+{
+  ErrorCode ec;
+  const tcp::endpoint endpoint(asio::ip::make_address(aTarget.mAddress, ec),
+                               aTarget.mPort);
+  HttpClientConnection connection(mExecutor);
+  const auto connected = co_await connection.Connect(endpoint, kConnectTimeout);
+  if (connected) {
+    mState.mReachability.OnConnected(aTarget.mName, SteadyNow());
+  } else {
+    mState.mReachability.OnConnectFailed(aTarget.mName, SteadyNow());
+  }
+}
+
 double GatewayFrontend::RetrySlack() const
 {
   const double totalSlack =
@@ -254,13 +268,14 @@
   mRelayListener.Server().StopGracefully();
 }
 
-void GatewayFrontend::LeaveDirectPath()
+void GatewayFrontend::LeaveDirectPath(TimePoint aSentBefore)
 {
   for (const auto& it : mActive) {
     const bool isRepeatable =
       it->mRule && it->mRule->mExecution == RouteExecution::Idempotent;
     if (isRepeatable && !it->mIsRelayed && it->mExchange &&
-        it->mExchange->IsDirect() && it->mStage == RequestStage::AtTarget) {
+        it->mExchange->IsDirect() && it->mStage == RequestStage::AtTarget &&
+        it->mSentAt < aSentBefore) {
       it->mPathLost = true;
       it->mExchange->Cancel();
     }
@@ -552,9 +567,11 @@
     co_return true;
   }
   aRequest.mTried.push_back(target->Record().mName);
-  TargetExchange exchange(mPool, mState.mPlatform, target);
+  TargetExchange exchange(
+    mPool, mState.mPlatform, mState.mReachability, target);
   aRequest.mExchange = &exchange;
   const TimePoint sentAt = SteadyNow();
+  aRequest.mSentAt = sentAt;
   const double load = target->EstimatedLoad(sentAt);
   auto answer = co_await exchange.Run(MakeTargetRequest(aRequest, *target),
                                       isRepeatable ? kMaxIdleRepeatable
@@ -608,7 +625,7 @@
 {
   const auto refusal = aRequest.mMayHaveRun ? ResultCode::BackendConnectionLost
                                             : ResultCode::NoTarget;
-  const auto peer = mRelay.Choose(aRequest.mTriedPeers, SteadyNow());
+  const auto peer = mRelay.Choose(aRequest, SteadyNow());
   if (!peer || aRequest.mTriedPeers.size() >= kMaxPeers) {
     co_await Refuse(aConnection,
                     aRequest,
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -15,6 +15,7 @@
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
 #include "TargetRanking.h"
+#include "TargetReachability.h"
 #include "TargetTable.h"
 #include "WeightedSplitter.h"
 #include "WorkspaceQuota.h"
@@ -46,6 +47,7 @@
     CrashLedger& mCrashes;
     ServiceDemand& mDemand;
     const PlacementPlan& mPlan;
+    TargetReachability& mReachability;
     RequestRelay::Sources mRelay = {};
     /// Returns true if this instance serves requests that others relay.
     std::function<bool()> mAcceptsRelayed = [] { return true; };
@@ -63,9 +65,13 @@
   void DropConnections(const RegisteredTarget& aTarget);
   /// Closes connections that have been idle for too long.
   void DropIdleConnections();
-  /// Cancels the attempts of repeatable requests at targets, so that they go
-  /// through another instance. Called when no target can be reached any more.
-  void LeaveDirectPath();
+  /// Cancels the attempts of repeatable requests at targets that began before
+  /// `aSentBefore`, so that they go through another instance.
+  void LeaveDirectPath(TimePoint aSentBefore);
+
+  /// Connects to a target and closes the connection, to learn whether it can be
+  /// reached.
+  Awaitable<void> ProbeTarget(RegisteredTarget aTarget);
 
   /// Limits the time of attempts at targets that start from now on to
   /// `aDeadline`, because the process stops. Attempts in progress and answers
--- a/src/RequestRelay.cpp
+++ b/src/RequestRelay.cpp
@@ -37,6 +37,23 @@
   return out;
 }
 
+template<typename T>
+bool Contains(const std::vector<T>& aList, const T& aValue)
+{
+  return std::find(aList.begin(), aList.end(), aValue) != aList.end();
+}
+
+/// Returns true if the request may be sent to a region. Each list of regions
+/// that is not empty must contain it.
+bool MayUseRegion(const ForwardedRequest& aRequest, const RegionName& aRegion)
+{
+  const auto allows = [&](const std::vector<RegionName>& aRegions) {
+    return aRegions.empty() || Contains(aRegions, aRegion);
+  };
+  return allows(aRequest.mRule->mAllowedRegions) &&
+         (!aRequest.mWorkspace || allows(aRequest.mWorkspace->mAllowedRegions));
+}
+
 /// Returns the failure of the attempt that a refusal with an unknown outcome
 /// stands for.
 AttemptFailure FailureOf(ResultCode aCode)
@@ -97,9 +114,8 @@
   return it == mPeers.end() ? 0 : it->second.mInFlight;
 }
 
-std::optional<IpEndpoint> RequestRelay::Choose(
-  std::span<const IpEndpoint> aTried,
-  TimePoint aNow)
+std::optional<IpEndpoint> RequestRelay::Choose(const ForwardedRequest& aRequest,
+                                               TimePoint aNow)
 {
   if (mOptions.mPort == 0) {
     return std::nullopt;
@@ -111,7 +127,8 @@
   std::pair<bool, int> best{};
   for (const auto& it : mSources.mCandidates()) {
     IpEndpoint peer{ it.mCaller.mAddress, mOptions.mPort };
-    if (std::find(aTried.begin(), aTried.end(), peer) != aTried.end()) {
+    if (Contains(aRequest.mTriedPeers, peer) ||
+        !MayUseRegion(aRequest, it.mRegion)) {
       continue;
     }
     const std::pair rank{ IsAvoided(peer, aNow), it.mDistance };
--- a/src/RequestRelay.h
+++ b/src/RequestRelay.h
@@ -4,7 +4,7 @@
 #include "IpEndpoint.h"
 #include "PlatformAdapter.h"
 #include "Random.h"
-#include "RelayCandidate.h"
+#include "RelayPeers.h"
 #include "TargetExchange.h"
 #include "Time.h"
 
@@ -12,7 +12,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -68,10 +67,11 @@
 
   /// Returns true if the next attempt must go through another instance.
   bool IsNeeded() const { return !mSources.mUsesDirectPath(); }
-  /// Returns the instance for the next attempt: one of the nearest, and of two
-  /// of these the one with fewer requests in flight from here. Empty if none is
+  /// Returns the instance for the next attempt: one of the nearest that were
+  /// not tried, and of two of these the one with fewer requests in flight from
+  /// here. Its region is one in which the request may run. Empty if none is
   /// left.
-  std::optional<IpEndpoint> Choose(std::span<const IpEndpoint> aTried,
+  std::optional<IpEndpoint> Choose(const ForwardedRequest& aRequest,
                                    TimePoint aNow);
   /// Returns the request for the other instance, with `aAttemptsLeft` attempts
   /// at targets and the time left until the request's deadline.
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -23,9 +23,11 @@
 
 TargetExchange::TargetExchange(HttpClientPool& aPool,
                                const PlatformAdapter& aPlatform,
+                               TargetReachability& aReachability,
                                std::shared_ptr<TargetState> aTarget)
   : mPool(aPool)
   , mPlatform(aPlatform)
+  , mReachability(&aReachability)
   , mTarget(std::move(aTarget))
 {
   ErrorCode ec;
@@ -70,12 +72,18 @@
 {
   TargetAnswer answer;
   const TimePoint startedAt = SteadyNow();
-  auto acquired =
-    co_await mPool.Acquire(mEndpoint, aMaxIdleTime, RemainingTime(aSendBy));
+  const Duration timeLeft = RemainingTime(aSendBy);
+  if (mTarget) {
+    mReachability->OnAttempt(mTarget->Record().mName, startedAt);
+  }
+  auto acquired = co_await mPool.Acquire(mEndpoint, aMaxIdleTime, timeLeft);
   // A connection that was not established in the time that the request had left
   // is no fault of the target.
   const bool isTimeout = mCancelled || SteadyNow() >= aSendBy;
   if (!acquired) {
+    if (mTarget && (!isTimeout || timeLeft >= mPool.ConnectTimeout())) {
+      mReachability->OnConnectFailed(mTarget->Record().mName, SteadyNow());
+    }
     Fail(answer,
          isTimeout ? AttemptFailure::Timeout : AttemptFailure::ConnectFailed,
          acquired.error().mDetail);
@@ -84,6 +92,7 @@
   mConnection = std::move(acquired.value());
   if (mTarget && mConnection->IsNew()) {
     mTarget->OnConnected(SteadyNow() - startedAt);
+    mReachability->OnConnected(mTarget->Record().mName, SteadyNow());
   }
   if (isTimeout) {
     Fail(answer, AttemptFailure::Timeout, "ended before it was sent");
@@ -101,6 +110,26 @@
   co_return answer;
 }
 
+Awaitable<ErrorCode> TargetExchange::ReadHeader(
+  std::shared_ptr<const TextRequest> aRequest,
+  bool aIsFirst,
+  TimePoint aDeadline)
+{
+  ErrorCode ec;
+  if (aIsFirst) {
+    ec = co_await mConnection->WriteAndReadHeader(aRequest,
+                                                  RemainingTime(aDeadline));
+  } else {
+    ec = co_await mConnection->ReadHeader(RemainingTime(aDeadline));
+  }
+  if (mTarget && !ec) {
+    mReachability->OnAnswer(mTarget->Record().mName, SteadyNow());
+  } else if (mTarget && !mCancelled) {
+    mReachability->OnExchangeLost(mTarget->Record().mName, SteadyNow());
+  }
+  co_return ec;
+}
+
 Awaitable<bool> TargetExchange::ReadMatchingHeader(
   std::shared_ptr<const TextRequest> aRequest,
   TimePoint aDeadline,
@@ -109,13 +138,7 @@
   const auto& idField = mPlatform.Fields().mRequestId;
   const std::string id = FieldText(*aRequest, idField);
   for (int n = 0; n <= kMaxMismatchedAnswers; ++n) {
-    ErrorCode ec;
-    if (n == 0) {
-      ec = co_await mConnection->WriteAndReadHeader(aRequest,
-                                                    RemainingTime(aDeadline));
-    } else {
-      ec = co_await mConnection->ReadHeader(RemainingTime(aDeadline));
-    }
+    const ErrorCode ec = co_await ReadHeader(aRequest, n == 0, aDeadline);
     if (ec) {
       const bool isTimeout = mCancelled || ec == beast::error::timeout;
       Fail(aAnswer,
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -3,6 +3,7 @@
 #include "HttpClientPool.h"
 #include "PlatformAdapter.h"
 #include "RetryPolicy.h"
+#include "TargetReachability.h"
 #include "TargetState.h"
 
 #include <memory>
@@ -32,6 +33,7 @@
 public:
   TargetExchange(HttpClientPool& aPool,
                  const PlatformAdapter& aPlatform,
+                 TargetReachability& aReachability,
                  std::shared_ptr<TargetState> aTarget);
   /// Makes an exchange with another instance, which chooses the target.
   TargetExchange(HttpClientPool& aPool,
@@ -58,6 +60,9 @@
   bool IsDirect() const { return mTarget != nullptr; }
 
 private:
+  Awaitable<ErrorCode> ReadHeader(std::shared_ptr<const TextRequest> aRequest,
+                                  bool aIsFirst,
+                                  TimePoint aDeadline);
   Awaitable<bool> ReadMatchingHeader(
     std::shared_ptr<const TextRequest> aRequest,
     TimePoint aDeadline,
@@ -72,6 +77,8 @@
   HttpClientPool& mPool;
   const PlatformAdapter& mPlatform;
   /// Null if another instance chooses the target.
+  TargetReachability* mReachability = nullptr;
+  /// Null if another instance chooses the target.
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -35,6 +35,7 @@
                   .mCrashes = mCrashes,
                   .mDemand = mDemand,
                   .mPlan = mPlan,
+                  .mReachability = mReachability,
                   .mRelay = { [this] { return mUsesDirectPath; },
                               [this] { return mCandidates; } },
                   .mAcceptsRelayed = [this] { return mAcceptsRelayed; } })
@@ -87,6 +88,7 @@
   CrashLedger mCrashes;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
+  TargetReachability mReachability{ 1 };
   bool mUsesDirectPath = true;
   bool mAcceptsRelayed = true;
   std::vector<RelayCandidate> mCandidates;
@@ -137,14 +139,22 @@
         "ratePerS":100000,"burst":100000}]})");
   }
 
+  static RelayCandidate Candidate(int aNumber, int aDistance)
+  {
+    return { .mCaller = { "127.0.0." + std::to_string(aNumber), 0 },
+             .mZone = ZoneName("z"),
+             .mRegion = RegionName("r"),
+             .mDistance = aDistance };
+  }
+
   /// Sets the instances through which the first one may send, by the last
   /// number of their addresses and the nearest first. 1 is the scripted peer.
   void UsePeers(const std::vector<int>& aNumbers)
   {
     mFirst.mCandidates.clear();
     for (const int it : aNumbers) {
-      mFirst.mCandidates.push_back({ { "127.0.0." + std::to_string(it), 0 },
-                                     int(mFirst.mCandidates.size()) });
+      mFirst.mCandidates.push_back(
+        Candidate(it, int(mFirst.mCandidates.size())));
     }
   }
 
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -262,13 +262,38 @@
   }
 }
 
+// Guards against a body that is sent to a region in which its route may not
+// run.
+TEST_CASE("a request is relayed only within the regions of its route")
+{
+  struct Row
+  {
+    const char* mRegion;
+    unsigned mStatus;
+  };
+  for (const Row& it : { Row{ "r", 200 }, Row{ "elsewhere", 503 } }) {
+    CAPTURE(it.mRegion);
+    RelayFixture fixture;
+    auto configuration = fixture.Configuration();
+    configuration["routes"][1]["allowedRegions"] = { "r" };
+    fixture.mFirst.Configure(configuration);
+    fixture.mFirst.mCandidates[0].mRegion = RegionName(it.mRegion);
+    fixture.Run([&]() -> Awaitable<void> {
+      auto answer = co_await fixture.Exchange(fixture.Request("/once/1"));
+      CHECK(answer.result_int() == it.mStatus);
+      answer = co_await fixture.Exchange(fixture.Request("/safe/1"));
+      CHECK(answer.result_int() == 200);
+    });
+  }
+}
+
 // Guards against requests that circle between instances without a path.
 TEST_CASE("a relayed request is not relayed again")
 {
   RelayFixture fixture;
   auto& peer = *fixture.mPeers[0];
   peer.mUsesDirectPath = false;
-  peer.mCandidates = { { { "127.0.0.2", 0 }, 0 }, { { "127.0.0.4", 0 }, 0 } };
+  peer.mCandidates = { fixture.Candidate(2, 0), fixture.Candidate(4, 0) };
   fixture.Run([&]() -> Awaitable<void> {
     auto answer = co_await fixture.Exchange(fixture.Request("/safe/1"));
     CHECK(answer.result_int() == 200);
@@ -457,7 +482,7 @@
       Spawn(fixture.mIo, send());
       co_await fixture.Until([&] { return silent.mOpen == 1; });
       fixture.mFirst.mUsesDirectPath = false;
-      fixture.mFirst.mFrontend.LeaveDirectPath();
+      fixture.mFirst.mFrontend.LeaveDirectPath(SteadyNow() + 1s);
       co_await fixture.Until([&] { return status != 0; });
       CHECK(status == it.mStatus);
       CHECK(fixture.mTarget.mReceived.size() == (status == 200 ? 1 : 0));
