--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -39,10 +39,26 @@
   /// End of an answer that has begun. It is later than `mDeadline` if the
   /// process stops before the caller's time is over.
   TimePoint mAnswerDeadline{};
+  /// Time until which the caller waits; without a limit if it states none.
+  TimePoint mCallerDeadline = TimePoint::max();
   RequestStage mStage = RequestStage::ReadingBody;
   std::vector<TargetName> mTried;
   /// Addresses of the targets in `mTried`; several targets may share one.
   std::vector<IpEndpoint> mTriedAddresses;
+  /// True if another instance has received the request from its caller and
+  /// counted it.
+  bool mIsRelayed = false;
+  /// Maximum number of attempts at targets.
+  unsigned mMaxAttempts = 0;
+  /// The instances through which the request was sent.
+  std::vector<IpEndpoint> mTriedPeers;
+  /// Connections that failed before anything was sent.
+  unsigned mConnectFailures = 0;
+  /// Time at which the last attempt at a target began.
+  TimePoint mSentAt{};
+  /// True if the current attempt was cancelled because no target can be reached
+  /// directly.
+  bool mPathLost = false;
   unsigned mAttempts = 0;
   bool mMayHaveRun = false;
   bool mCallerGone = false;
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -8,7 +8,9 @@
 #include "HttpServer.h"
 #include "PlacementPlan.h"
 #include "PlatformAdapter.h"
+#include "RelayListener.h"
 #include "RequestLog.h"
+#include "RequestRelay.h"
 #include "RetryBudget.h"
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
@@ -19,8 +21,10 @@
 #include "WeightedSplitter.h"
 #include "WorkspaceQuota.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace pollenway {
@@ -45,10 +49,14 @@
     ServiceDemand& mDemand;
     const PlacementPlan& mPlan;
     TargetReachability& mReachability;
+    RequestRelay::Sources mRelay = {};
+    /// Returns true if this instance serves requests that others relay.
+    std::function<bool()> mAcceptsRelayed = [] { return true; };
   };
 
   GatewayFrontend(asio::any_io_executor aExecutor, State aState);
 
+  /// Listens for callers and for the requests that other instances relay.
   Result<void> Listen();
   /// Sets the routing table for requests that arrive from now on.
   void SetTable(std::shared_ptr<const RoutingTable> aTable);
@@ -60,7 +68,10 @@
   void ExpireAnnouncements(bool aIsStoreLost);
   const TargetAnnouncements& Announcements() const { return mAnnouncements; }
   /// Closes connections that have been idle for too long.
-  void DropIdleConnections() { mPool.CloseExpired(); }
+  void DropIdleConnections();
+  /// Cancels the attempts of repeatable requests at targets that began before
+  /// `aSentBefore`, so that they go through another instance.
+  void LeaveDirectPath(TimePoint aSentBefore);
 
   /// Connects to a target and closes the connection, to learn whether it can be
   /// reached.
@@ -75,17 +86,26 @@
   /// whose bytes were being processed.
   void EndRequests();
   size_t CountActiveRequests() const { return mActive.size(); }
+  /// Returns the number of connections of callers and other instances with a
+  /// request in flight.
+  size_t BusyConnections() const;
+  /// Closes each connection after its next answer.
+  void EndConnectionsAfterAnswers();
+  /// Stops accepting, closes idle connections and lets requests in flight
+  /// finish.
+  void StopGracefully();
   /// Logs the requests that have no final answer yet. Called when the process
   /// ends.
   void LogCutRequests();
 
-  HttpServer& Server() { return mServer; }
   const HttpServer& Server() const { return mServer; }
+  const RelayListener& Relayed() const { return mRelayListener; }
+  const RequestRelay& Relay() const { return mRelay; }
   RequestLog& Requests() { return mLog; }
   const RequestLog& Requests() const { return mLog; }
 
 private:
-  Awaitable<void> Handle(HttpConnection& aConnection);
+  Awaitable<void> Handle(HttpConnection& aConnection, bool aIsRelayed);
   Awaitable<void> Process(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
   /// Reads the body and counts the request against the workspace's rate limit.
@@ -96,8 +116,23 @@
                                    ForwardedRequest& aRequest);
   Result<void> CheckRoute(const RequestHeader& aHeader,
                           ForwardedRequest& aRequest) const;
+  /// Refuses a relayed request that this instance can't serve now.
+  Result<void> CheckRelayed(ForwardedRequest& aRequest) const;
+  /// Counts the request of an own caller and chooses its service.
+  Result<void> Count(ForwardedRequest& aRequest);
   Awaitable<void> Forward(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
+  /// Makes one attempt at a target. Returns false if another attempt follows.
+  Awaitable<bool> ForwardToTarget(HttpConnection& aConnection,
+                                  ForwardedRequest& aRequest);
+  /// Makes one attempt through another instance. Returns false if another
+  /// attempt follows.
+  Awaitable<bool> ForwardToPeer(HttpConnection& aConnection,
+                                ForwardedRequest& aRequest);
+  /// Returns the code of the final refusal after a failed attempt; empty if the
+  /// request is retried.
+  std::optional<ResultCode> DecideRetry(ForwardedRequest& aRequest,
+                                        const struct TargetAnswer& aAnswer);
   TargetRanking::Request RankingRequest(const ForwardedRequest& aRequest) const;
   std::shared_ptr<TargetState> ChooseTarget(ForwardedRequest& aRequest);
   void OnAnnouncement(const TargetAnnouncements::Change& aChange);
@@ -130,6 +165,8 @@
   State mState;
   HttpServer mServer;
   HttpClientPool mPool;
+  RelayListener mRelayListener;
+  RequestRelay mRelay;
   ByteBudget mBodyMemory;
   RequestLog mLog;
   TargetRanking mRanking;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kMinTickInterval = 120ms;
 /// Interval at which it is checked whether a target should be tested.
 constexpr Duration kProbePollInterval = 50ms;
+/// Without a path to new connections, answers on open ones are awaited for this
+/// time before a repeatable request is sent through another instance.
+constexpr Duration kMaxAnswerDelay = 300ms;
 constexpr Duration kStopPollInterval = 50ms;
 constexpr Duration kFinalPollInterval = 10ms;
 /// A link to a peer with a pending call is replaced after this time without an
@@ -88,7 +91,12 @@
                 mCrashes,
                 mDemand,
                 mPlan,
-                mReachability })
+                mReachability,
+                { [this] { return UsesDirectPath(SteadyNow()); },
+                  [this] { return RelayCandidates(SteadyNow()); } },
+                [this] {
+                  return !mStopping && !mReachability.IsIsolated(SteadyNow());
+                } })
   , mDirectory(aIo.get_executor(),
                { mSettings,
                  mPlatform,
@@ -361,10 +369,25 @@
     // The report may follow a change with a delay, or have come too soon after
     // the last one.
     ReportReachability(now);
+    if (mReachability.IsIsolated(now) && !RelayCandidates(now).empty()) {
+      mFrontend.LeaveDirectPath(now - kMaxAnswerDelay);
+    }
     co_await Pause(kProbePollInterval);
   }
 }
 
+std::vector<RelayCandidate> GatewayServer::RelayCandidates(TimePoint aNow) const
+{
+  return FindRelayCandidates(
+    mInstances, mRemoteZones, mSettings.mZone, mSettings.mRegion, aNow);
+}
+
+bool GatewayServer::UsesDirectPath(TimePoint aNow)
+{
+  // Open connections may still work, so they are better than nothing.
+  return mReachability.UseDirectPath(aNow) || RelayCandidates(aNow).empty();
+}
+
 void GatewayServer::ReportReachability(TimePoint aNow)
 {
   if (mReachability.ReachesTargets(aNow) != mReportedReachingTargets) {
@@ -377,8 +400,7 @@
 void GatewayServer::LogReachability(TimePoint aNow) const
 {
   const auto& evidence = mReachability.LastEvidence();
-  const auto peers = FindRelayCandidates(
-    mInstances, mRemoteZones, mSettings.mZone, mSettings.mRegion, aNow);
+  const auto peers = RelayCandidates(aNow);
   const auto milliseconds = [](Duration aTime) {
     return uint64_t(
       std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
@@ -790,7 +812,7 @@
   mStopping = true;
   Log(LogLevel::Info,
       "stopping",
-      { { "busy_connections", mFrontend.Server().BusyConnections() } });
+      { { "busy_connections", mFrontend.BusyConnections() } });
   Spawn(mIo, StopLoop());
 }
 
@@ -804,19 +826,18 @@
   // The other instances stop listing this one in look-ups when they receive
   // this summary.
   mSummaries.Send();
-  mFrontend.Server().EndConnectionsAfterAnswers();
+  mFrontend.EndConnectionsAfterAnswers();
   co_await PauseUntil(begin + schedule.mCallersServed);
-  mFrontend.Server().StopGracefully();
+  mFrontend.StopGracefully();
   const TimePoint endRequestsAt = begin + schedule.mRequestsEnded;
-  while (SteadyNow() < endRequestsAt &&
-         mFrontend.Server().BusyConnections() > 0) {
+  while (SteadyNow() < endRequestsAt && mFrontend.BusyConnections() > 0) {
     co_await PauseUntil(
       std::min(SteadyNow() + kStopPollInterval, endRequestsAt));
   }
   // A process that was delayed still needs a turn in which answers are written.
   const TimePoint limit =
     std::max(begin + schedule.mProcessEnds, SteadyNow() + kFinalPollInterval);
-  while (mFrontend.Server().BusyConnections() > 0) {
+  while (mFrontend.BusyConnections() > 0) {
     mFrontend.EndRequests();
     co_await Pause(kFinalPollInterval);
     if (SteadyNow() >= limit) {
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -78,6 +78,10 @@
   /// paths to targets, or has them back.
   void ReportReachability(TimePoint aNow);
   void LogReachability(TimePoint aNow) const;
+  /// Returns the other instances that can forward requests, nearest first.
+  std::vector<RelayCandidate> RelayCandidates(TimePoint aNow) const;
+  /// Returns true if the next attempt should be sent directly to a target.
+  bool UsesDirectPath(TimePoint aNow);
   /// Makes the targets of the table known to `mReachability`.
   void UpdateReachability();
   /// As a delegate of the zone, sends the sums over its instances to the other
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -32,8 +32,8 @@
                                std::shared_ptr<TargetState> aTarget)
   : mPool(aPool)
   , mPlatform(aPlatform)
-  , mReachability(aReachability)
-  , mAnnouncements(aAnnouncements)
+  , mReachability(&aReachability)
+  , mAnnouncements(&aAnnouncements)
   , mTarget(std::move(aTarget))
 {
   ErrorCode ec;
@@ -43,11 +43,23 @@
   mTarget->OnSent();
 }
 
+TargetExchange::TargetExchange(HttpClientPool& aPool,
+                               const PlatformAdapter& aPlatform,
+                               tcp::endpoint aPeer)
+  : mPool(aPool)
+  , mPlatform(aPlatform)
+  , mEndpoint(aPeer)
+{
+}
+
 TargetExchange::~TargetExchange()
 {
-  mTarget->OnEnded();
-  const bool isLeaving = mAnnouncements.Find(mTarget->Record(), SteadyNow()) ==
-                         ClosedReason::Leaving;
+  if (mTarget) {
+    mTarget->OnEnded();
+  }
+  const bool isLeaving =
+    mTarget && mAnnouncements->Find(mTarget->Record(), SteadyNow()) ==
+                 ClosedReason::Leaving;
   if (mConnection && !isLeaving) {
     mPool.Release(mEndpoint, std::move(mConnection));
   }
@@ -69,16 +81,17 @@
 {
   TargetAnswer answer;
   const TimePoint startedAt = SteadyNow();
-  const auto& name = mTarget->Record().mName;
   const Duration timeLeft = RemainingTime(aSendBy);
-  mReachability.OnAttempt(name, startedAt);
+  if (mTarget) {
+    mReachability->OnAttempt(mTarget->Record().mName, startedAt);
+  }
   auto acquired = co_await mPool.Acquire(mEndpoint, aMaxIdleTime, timeLeft);
   // A connection that was not established in the time that the request had left
   // is no fault of the target.
   const bool isTimeout = mCancelled || SteadyNow() >= aSendBy;
   if (!acquired) {
-    if (!isTimeout || timeLeft >= mPool.ConnectTimeout()) {
-      mReachability.OnConnectFailed(name, SteadyNow());
+    if (mTarget && (!isTimeout || timeLeft >= mPool.ConnectTimeout())) {
+      mReachability->OnConnectFailed(mTarget->Record().mName, SteadyNow());
     }
     Fail(answer,
          isTimeout ? AttemptFailure::Timeout : AttemptFailure::ConnectFailed,
@@ -86,9 +99,9 @@
     co_return answer;
   }
   mConnection = std::move(acquired.value());
-  if (mConnection->IsNew()) {
+  if (mTarget && mConnection->IsNew()) {
     mTarget->OnConnected(SteadyNow() - startedAt);
-    mReachability.OnConnected(name, SteadyNow());
+    mReachability->OnConnected(mTarget->Record().mName, SteadyNow());
   }
   if (isTimeout) {
     Fail(answer, AttemptFailure::Timeout, "ended before it was sent");
@@ -96,7 +109,7 @@
   }
   // The target may have announced it while this request waited for the
   // connection.
-  if (mAnnouncements.IsClosed(mTarget->Record(), SteadyNow())) {
+  if (mTarget && mAnnouncements->IsClosed(mTarget->Record(), SteadyNow())) {
     Fail(answer, AttemptFailure::TargetClosed, "the target takes no requests");
     co_return answer;
   }
@@ -124,10 +137,10 @@
   } else {
     ec = co_await mConnection->ReadHeader(RemainingTime(aDeadline));
   }
-  if (!ec) {
-    mReachability.OnAnswer(mTarget->Record().mName, SteadyNow());
-  } else if (!mCancelled) {
-    mReachability.OnExchangeLost(mTarget->Record().mName, SteadyNow());
+  if (mTarget && !ec) {
+    mReachability->OnAnswer(mTarget->Record().mName, SteadyNow());
+  } else if (mTarget && !mCancelled) {
+    mReachability->OnExchangeLost(mTarget->Record().mName, SteadyNow());
   }
   co_return ec;
 }
@@ -150,7 +163,7 @@
     }
     aAnswer.mHeader = mConnection->Header();
     if (FieldText(aAnswer.mHeader, idField) == id) {
-      if (IsValidAnswer(aAnswer)) {
+      if (mTarget && IsValidAnswer(aAnswer)) {
         ReadAnnouncements(aAnswer.mHeader);
       }
       co_return true;
@@ -231,7 +244,7 @@
     return std::string_view(value.data(), value.size());
   };
   if (mPlatform.ReadLeaving(text(mPlatform.Fields().mLeaving))) {
-    mAnnouncements.OnLeaving(record);
+    mAnnouncements->OnLeaving(record);
   }
   if (status != http::status::service_unavailable ||
       aHeader.count(http::field::retry_after) == 0) {
@@ -240,8 +253,8 @@
   const auto value = text(http::field::retry_after);
   const auto time = mPlatform.ReadRetryAfter(value);
   if (time) {
-    mAnnouncements.OnQuiet(record, *time, SteadyNow());
-  } else if (mAnnouncements.OnMalformed(record)) {
+    mAnnouncements->OnQuiet(record, *time, SteadyNow());
+  } else if (mAnnouncements->OnMalformed(record)) {
     Log(LogLevel::Warn,
         "target_retry_after_malformed",
         { { "target", record.mName.Text() },
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -28,7 +28,8 @@
   std::string mDetail;
 };
 
-/// One attempt to run a request on a target.
+/// One attempt to run a request on a target, directly or through another
+/// instance.
 class TargetExchange
 {
 public:
@@ -37,6 +38,10 @@
                  TargetReachability& aReachability,
                  TargetAnnouncements& aAnnouncements,
                  std::shared_ptr<TargetState> aTarget);
+  /// Makes an exchange with another instance, which chooses the target.
+  TargetExchange(HttpClientPool& aPool,
+                 const PlatformAdapter& aPlatform,
+                 tcp::endpoint aPeer);
   ~TargetExchange();
 
   /// Sends the request by `aSendBy` and reads the answer until `aDeadline`.
@@ -55,6 +60,9 @@
   /// Cancels the attempt and closes its connection to the target.
   void Cancel();
   bool IsCancelled() const { return mCancelled; }
+  /// Returns true if the request is sent to its target, not to another
+  /// instance.
+  bool IsDirect() const { return mTarget != nullptr; }
 
 private:
   Awaitable<ErrorCode> ReadHeader(std::shared_ptr<const TextRequest> aRequest,
@@ -75,8 +83,9 @@
 
   HttpClientPool& mPool;
   const PlatformAdapter& mPlatform;
-  TargetReachability& mReachability;
-  TargetAnnouncements& mAnnouncements;
+  /// Both are null, as `mTarget` is, if another instance chooses the target.
+  TargetReachability* mReachability = nullptr;
+  TargetAnnouncements* mAnnouncements = nullptr;
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
