Bound the wait of the configuration's watch

Callers get 401 and 404.

Change: a watch of the configuration waits for 1.5 s at most. The first reader that notices lists again, its summary tells the others, and their other watches are replaced as well. The targets' and evacuations' watches still wait 25 s.

Tests, first run with the old time: "a configuration comes into force although its watch is silent" failed with 401 == 200 in both rows (answer lost, restored store that kept the watch). With the change they pass, and so do "a watch that was open in an outage" and "a configuration written after a restore"; the whole of test_platform was not run again on this commit.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -29,6 +29,11 @@
 /// A link to a peer with a pending call is replaced after this time without an
 /// answer. Calls wait up to two seconds for a change.
 constexpr Duration kPeerSilenceTimeout = 3500ms;
+/// Maximum wait of a watch of the configuration, and of the other kinds. A lost
+/// answer shows only when its watch ends; the first reader that notices tells
+/// the others, also that their other watches may be silent.
+constexpr Duration kConfigurationWatchTime = 1500ms;
+constexpr Duration kWatchTime = 25s;
 /// Time after the start in which an instance is expected to become ready.
 constexpr Duration kStartingTime = 5s;
 
@@ -244,6 +249,9 @@
 {
   // In a new deployment nothing has been removed yet.
   return { .mKind = aKind,
+           .mWatchTimeout = aKind == mPlatform.Names().mConfigurationKind
+                              ? kConfigurationWatchTime
+                              : kWatchTime,
            .mFirstListing = mSettings.mIsFirstStart ? ReadFreshness::MayBeStale
                                                     : ReadFreshness::Current,
            .mSeed = HashOf({ mSettings.mName.Text(), aKind }) ^ mIncarnation };
--- a/test/platform/GatewayStaleConfiguration.cpp
+++ b/test/platform/GatewayStaleConfiguration.cpp
@@ -50,3 +50,40 @@
     CHECK(status == 200);
   });
 }
+
+// Guards against instances that all answer from an old table because no watch
+// is answered any more and no call fails, so that none of them reports the
+// change.
+TEST_CASE("a configuration comes into force although its watch is silent")
+{
+  struct Row
+  {
+    std::string mCase;
+    void (*mApply)(StoreStandIn&);
+  };
+  const Row rows[] = {
+    { "the answer is lost",
+      [](StoreStandIn& aStore) { aStore.LoseWatches("config"); } },
+    { "the store was restored and kept the watch",
+      [](StoreStandIn& aStore) { aStore.Restore(false); } },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mCase);
+    GatewayFixture fixture(1);
+    fixture.Configure();
+    auto& store = fixture.mStoreServer;
+    store.Keep();
+    fixture.Run([&]() -> Awaitable<void> {
+      co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+      for (int n = 0; n < 5; ++n) {
+        store.Set("config", "other", n);
+      }
+      co_await fixture.Pause(500ms);
+      row.mApply(store);
+      WriteConfigurationWithNewKey(fixture);
+      co_await fixture.Pause(kConfigurationBound);
+      const unsigned status = co_await StatusWithNewKey(fixture);
+      CHECK(status == 200);
+    });
+  }
+}
