Look up the end of direct reads again after a watch

Since a watch can be replaced, two watches of a kind can wait at the same time, and the first to end may erase the entry that the other one reads.

Change: the entry is looked up after the wait. Ruled out: an entry kept by value, which would end a direct read that began later. No test fails without the change: it takes an address sanitizer to see the read.

--- a/src/RelayedStore.cpp
+++ b/src/RelayedStore.cpp
@@ -183,8 +183,7 @@
     }
   }
   const bool wasReading = IsReading(aKind);
-  const auto direct = mDirectReadUntil.find(aKind);
-  const bool isDirect = direct != mDirectReadUntil.end();
+  const bool isDirect = mDirectReadUntil.contains(aKind);
   SetReading(aKind,
              true,
              isDirect ? "the reader failed"
@@ -200,9 +199,12 @@
   // longer has the history is listed directly: the reader may not know yet.
   const bool isHistoryGone =
     !changes && changes.error().mCode == ResultCode::InvalidState;
-  if ((!changes && !isHistoryGone) ||
-      (isDirect && SteadyNow() >= direct->second)) {
-    mDirectReadUntil.erase(aKind);
+  // A watch that has replaced this one may have removed the entry.
+  const auto direct = mDirectReadUntil.find(aKind);
+  if (direct != mDirectReadUntil.end() &&
+      ((!changes && !isHistoryGone) ||
+       (isDirect && SteadyNow() >= direct->second))) {
+    mDirectReadUntil.erase(direct);
   }
   co_return changes;
 }
