Don't count connections of a lost path as crashes of their requests

Cause: CrashLedger counts each connection that is lost while a target runs a request. An instance that loses its paths to all targets loses such connections by the dozen, and three losses of one request, by its workspace, method, path and body, refuse it at all instances for up to a minute. A popular look-up has that many in flight. Its answers can't clear the count, since it is refused.

Change: no loss counts while the instance reaches no target, and what it has counted in the 3 s before it noticed is discarded with the next report. Ruled out: a higher threshold, by which a request that crashes its targets would crash more of them.

The wiring has no test of its own.

--- a/src/CrashLedger.cpp
+++ b/src/CrashLedger.cpp
@@ -41,6 +41,13 @@
   mOwnCounts.erase(aRequest);
 }
 
+void CrashLedger::DiscardSince(TimePoint aTime)
+{
+  std::erase_if(mOwnCounts, [&](const auto& aEntry) {
+    return aEntry.second.mLastLossAt >= aTime;
+  });
+}
+
 void CrashLedger::OnReport(const InstanceName& aInstance,
                            const std::vector<CrashCount>& aCounts,
                            TimePoint aNow)
--- a/src/CrashLedger.h
+++ b/src/CrashLedger.h
@@ -28,6 +28,10 @@
   /// request.
   void OnConnectionLost(RequestFingerprint aRequest, TimePoint aNow);
   void OnAnswer(RequestFingerprint aRequest);
+  /// Discards this instance's counts of requests whose last connection loss was
+  /// at `aTime` or later. Called when it turns out that the paths to all
+  /// targets were lost, which is no fault of the requests.
+  void DiscardSince(TimePoint aTime);
   /// Replaces the counts that another instance of the zone reported before.
   /// They expire like own counts if it sends no further report.
   void OnReport(const InstanceName& aInstance,
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -598,7 +598,7 @@
     }
   }
   if (aAnswer.mFailure == AttemptFailure::ConnectionLost &&
-      aAnswer.mBytesSent) {
+      aAnswer.mBytesSent && mState.mReachability.ReachesTargets(now)) {
     mState.mCrashes.OnConnectionLost(aRequest.mFingerprint, now);
   }
   if (!aAnswer.mFailure) {
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -40,6 +40,9 @@
 /// the others, also that their other watches may be silent.
 constexpr Duration kConfigurationWatchTime = 1500ms;
 constexpr Duration kWatchTime = 25s;
+/// Maximum time from the loss of the paths to all targets until it is noticed:
+/// connections without a path are lost 2.5 s after data was sent at the latest.
+constexpr Duration kPathLossDetectionTime = 3s;
 /// Time after the start in which an instance is expected to become ready.
 constexpr Duration kStartingTime = 5s;
 
@@ -221,6 +224,9 @@
   });
   mReachability.OnChanged([this] {
     const TimePoint now = SteadyNow();
+    if (mReachability.IsIsolated(now)) {
+      mCrashes.DiscardSince(now - kPathLossDetectionTime);
+    }
     LogReachability(now);
     ReportReachability(now);
   });
--- a/test/correctness/CrashLedger.cpp
+++ b/test/correctness/CrashLedger.cpp
@@ -69,3 +69,27 @@
   (void)ledger.Report(At(61));
   CHECK_FALSE(ledger.IsRefused(request));
 }
+
+// Guards against proper requests that are refused everywhere for a minute,
+// because an instance lost its paths to all targets while it ran them.
+TEST_CASE("connection losses of a lost path don't count against requests")
+{
+  struct Row
+  {
+    double mLossesEndAt;
+    bool mIsRefused;
+  };
+  for (const auto& row : { Row{ 4, true }, Row{ 7, false }, Row{ 9, false } }) {
+    CAPTURE(row.mLossesEndAt);
+    const RequestFingerprint request{ 1 };
+    CrashLedger here;
+    CrashLedger there;
+    for (int n = 0; n < 3; ++n) {
+      here.OnConnectionLost(request, At(row.mLossesEndAt - 2 + n));
+    }
+    here.DiscardSince(At(7));
+    there.OnReport(InstanceName("here"), here.Report(At(10)), At(10));
+    CHECK(here.IsRefused(request) == row.mIsRefused);
+    CHECK(there.IsRefused(request) == row.mIsRefused);
+  }
+}
