Measure how late the event loop runs, and a request's age at its write

EventLoopLag measures the lateness of a periodic timer. The gateway uses the pause of its 50 ms loop for it, so there is no additional timer; the histogram and the maximum are in the metrics, and event=event_loop_late says the greatest lag from 100 ms on, at most once a second. event=request gets write_age_ms and write_lag_ms: time from the head to the last write to a target or another instance, and the lag at that moment.

--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -10,6 +10,7 @@
 #include "Time.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,15 @@
 /// A caller's request while an instance processes it.
 struct ForwardedRequest
 {
+  /// The moment at which an attempt is written to its connection.
+  struct Write
+  {
+    /// Time since `mReceivedAt`.
+    Duration mAge{};
+    /// How late the event loop ran.
+    Duration mLoopLag{};
+  };
+
   std::string mId;
   /// The routing table in force when the request arrived; `mRule` and
   /// `mWorkspace` point into it.
@@ -56,6 +66,8 @@
   unsigned mConnectFailures = 0;
   /// Time at which the last attempt at a target began.
   TimePoint mSentAt{};
+  /// The last write to a target or to another instance.
+  std::optional<Write> mWrite;
   /// True if the current attempt was cancelled because no target can be reached
   /// directly.
   bool mPathLost = false;
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -247,6 +247,15 @@
   }
 }
 
+void GatewayFrontend::MeasureWrite(TargetExchange& aExchange,
+                                   ForwardedRequest& aRequest)
+{
+  aExchange.OnWrite([this, &aRequest](TimePoint aNow) {
+    aRequest.mWrite = { .mAge = aNow - aRequest.mReceivedAt,
+                        .mLoopLag = mState.mLoopLag(aNow) };
+  });
+}
+
 RetryBudget& GatewayFrontend::BudgetOf(const ServiceName& aService)
 {
   const auto it = mBudgets.find(aService);
@@ -648,6 +657,7 @@
   TargetExchange exchange(
     mPool, mState.mPlatform, mState.mReachability, mAnnouncements, target);
   aRequest.mExchange = &exchange;
+  MeasureWrite(exchange, aRequest);
   const TimePoint sentAt = SteadyNow();
   aRequest.mSentAt = sentAt;
   const double load = target->EstimatedLoad(sentAt);
@@ -719,6 +729,7 @@
   RequestRelay::Attempt attempt(mRelay, *peer);
   TargetExchange exchange = attempt.MakeExchange(mState.mPlatform);
   aRequest.mExchange = &exchange;
+  MeasureWrite(exchange, aRequest);
   const TimePoint sentAt = SteadyNow();
   const bool isRepeatable =
     aRequest.mRule->mExecution == RouteExecution::Idempotent;
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -52,6 +52,10 @@
     RequestRelay::Sources mRelay = {};
     /// Returns true if this instance serves requests that others relay.
     std::function<bool()> mAcceptsRelayed = [] { return true; };
+    /// Returns how late the event loop runs.
+    std::function<Duration(TimePoint)> mLoopLag = [](TimePoint) {
+      return Duration::zero();
+    };
   };
 
   GatewayFrontend(asio::any_io_executor aExecutor, State aState);
@@ -159,6 +163,8 @@
               ResultCode aCode,
               std::string_view aDetail);
   double RetrySlack() const;
+  /// Records in the request when `aExchange` writes it.
+  void MeasureWrite(TargetExchange& aExchange, ForwardedRequest& aRequest);
   RetryBudget& BudgetOf(const ServiceName& aService);
 
   asio::any_io_executor mExecutor;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -90,21 +90,21 @@
   , mDemand(SteadyNow())
   , mPlan(mSettings.mZone, mSettings.mRegionOf)
   , mReachability(HashOf({ mSettings.mName.Text() }) ^ mIncarnation)
-  , mFrontend(aIo.get_executor(),
-              { mSettings,
-                mPlatform,
-                mTargets,
-                mQuota,
-                mCold,
-                mCrashes,
-                mDemand,
-                mPlan,
-                mReachability,
-                { [this] { return UsesDirectPath(SteadyNow()); },
-                  [this] { return RelayCandidates(SteadyNow()); } },
-                [this] {
-                  return !mStopping && !mReachability.IsIsolated(SteadyNow());
-                } })
+  , mFrontend(
+      aIo.get_executor(),
+      { mSettings,
+        mPlatform,
+        mTargets,
+        mQuota,
+        mCold,
+        mCrashes,
+        mDemand,
+        mPlan,
+        mReachability,
+        { [this] { return UsesDirectPath(SteadyNow()); },
+          [this] { return RelayCandidates(SteadyNow()); } },
+        [this] { return !mStopping && !mReachability.IsIsolated(SteadyNow()); },
+        [this](TimePoint aNow) { return mLoopLag.Current(aNow); } })
   , mDirectory(aIo.get_executor(),
                { mSettings,
                  mPlatform,
@@ -186,6 +186,7 @@
               mRemoteZones,
               mQuota,
               mReachability,
+              mLoopLag,
               mConfigurationFeed,
               mTargetFeed,
               mEvacuationFeed,
@@ -358,6 +359,18 @@
   co_await timer.async_wait(Into(ec));
 }
 
+Awaitable<void> GatewayServer::PauseMeasured(Duration aTime)
+{
+  mLoopLag.OnSet(SteadyNow() + aTime);
+  co_await Pause(aTime);
+  if (const auto lag = mLoopLag.OnRun(SteadyNow())) {
+    Log(LogLevel::Warn,
+        "event_loop_late",
+        { { "max_ms", int64_t(ToSeconds(*lag) * 1000) },
+          { "requests", mFrontend.CountActiveRequests() } });
+  }
+}
+
 Awaitable<void> GatewayServer::PauseUntil(TimePoint aTime)
 {
   co_await Pause(std::max<Duration>(aTime - SteadyNow(), Duration::zero()));
@@ -386,7 +399,7 @@
     if (mReachability.IsIsolated(now) && !RelayCandidates(now).empty()) {
       mFrontend.LeaveDirectPath(now - kMaxAnswerDelay);
     }
-    co_await Pause(kProbePollInterval);
+    co_await PauseMeasured(kProbePollInterval);
   }
 }
 
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -3,6 +3,7 @@
 #include "ColdAdmission.h"
 #include "CrashLedger.h"
 #include "EvacuatedZones.h"
+#include "EventLoopLag.h"
 #include "FeedRelay.h"
 #include "GatewayDirectory.h"
 #include "GatewayFrontend.h"
@@ -70,6 +71,8 @@
   Awaitable<void> ProbeLoop();
   Awaitable<void> StopLoop();
   Awaitable<void> Pause(Duration aTime);
+  /// Pauses and measures how late the event loop resumes.
+  Awaitable<void> PauseMeasured(Duration aTime);
   Awaitable<void> PauseUntil(TimePoint aTime);
   void Tick();
   /// Sends the next summary immediately, unless the last one was just sent.
@@ -141,6 +144,7 @@
   ServiceDemand mDemand;
   PlacementPlan mPlan;
   TargetReachability mReachability;
+  EventLoopLag mLoopLag;
   GatewayFrontend mFrontend;
   GatewayDirectory mDirectory;
   SummaryExchange mSummaries;
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -1,5 +1,6 @@
 #include "GatewayStatus.h"
 
+#include "EventLoopLag.h"
 #include "GatewayFrontend.h"
 #include "HttpHeaders.h"
 #include "InstanceTable.h"
@@ -152,6 +153,7 @@
   const TimePoint now = SteadyNow();
   MetricsWriter writer;
   mSources.mFrontend.Requests().Metrics().WriteTo(writer);
+  mSources.mLoopLag.WriteTo(writer);
   writer.Begin(
     "pollenway_attempts_total", "counter", "Attempts at targets by result.");
   for (const auto& [result, count] : mSources.mFrontend.Requests().Attempts()) {
--- a/src/GatewayStatus.h
+++ b/src/GatewayStatus.h
@@ -10,6 +10,7 @@
 
 namespace pollenway {
 
+class EventLoopLag;
 class RemoteZones;
 class GatewayFrontend;
 class InstanceTable;
@@ -32,6 +33,7 @@
     const RemoteZones& mRemoteZones;
     const WorkspaceQuota& mQuota;
     const TargetReachability& mReachability;
+    const EventLoopLag& mLoopLag;
     const StateFeed& mConfigurationFeed;
     const StateFeed& mTargetFeed;
     const StateFeed& mEvacuationFeed;
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -10,6 +10,16 @@
 
 namespace {
 
+/// Returns the whole milliseconds of one of the write's times; empty if the
+/// request was not written.
+std::string WriteMs(const ForwardedRequest& aRequest,
+                    Duration ForwardedRequest::Write::*aTime)
+{
+  return aRequest.mWrite ? std::to_string(int64_t(
+                             ToSeconds((*aRequest.mWrite).*aTime) * 1000))
+                         : std::string();
+}
+
 /// An instance serves about a hundred requests per second at peak load.
 constexpr unsigned kMaxLinesPerSecond = 400;
 
@@ -79,6 +89,10 @@
   if (!mLogRateLimit.Allow(aNow)) {
     return;
   }
+  const std::string writeAge =
+    WriteMs(aRequest, &ForwardedRequest::Write::mAge);
+  const std::string writeLag =
+    WriteMs(aRequest, &ForwardedRequest::Write::mLoopLag);
   Log(LogLevel::Info,
       aRequest.mIsRelayed ? "request_for_peer" : "request",
       { { "id", aRequest.mId },
@@ -94,6 +108,8 @@
         { "attempts", aRequest.mTried.size() },
         { "table", aRequest.mTable ? aRequest.mTable->Version() : 0 },
         { "ms", int64_t(ToSeconds(latency) * 1000) },
+        { "write_age_ms", writeAge },
+        { "write_lag_ms", writeLag },
         { "code", Name(aCode) },
         { "detail", aDetail },
         { "inputs", aInputs } });
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -113,6 +113,9 @@
     Fail(answer, AttemptFailure::TargetClosed, "the target takes no requests");
     co_return answer;
   }
+  if (mOnWrite) {
+    mOnWrite(SteadyNow());
+  }
   answer.mBytesSent = true;
   const bool hasHeader =
     co_await ReadMatchingHeader(aRequest, aDeadline, answer);
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -6,6 +6,7 @@
 #include "TargetReachability.h"
 #include "TargetState.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -44,6 +45,11 @@
                  tcp::endpoint aPeer);
   ~TargetExchange();
 
+  /// Sets a function that is called when the request is about to be written.
+  void OnWrite(std::function<void(TimePoint)> aCallback)
+  {
+    mOnWrite = std::move(aCallback);
+  }
   /// Sends the request by `aSendBy` and reads the answer until `aDeadline`.
   /// Sends nothing if the target is closed to this instance when a connection
   /// is available.
@@ -89,6 +95,7 @@
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
+  std::function<void(TimePoint)> mOnWrite;
   bool mCancelled = false;
 };
 
