Check that the caller is connected directly before a request is written

What callers saw: requests reached targets up to 0.75 s after their callers had closed the connection.

Cause: a check far from the act that it guards. The caller's close was learnt by an event, which waits behind other work: with an idle target connection the write happens in the handler that reads the request, before any event of the close. The watch was not set while pipelined bytes were in the buffer, and not set again after it had seen some. The time left that a target is told was computed before the connection was there.

Change: TargetExchange::Run makes the request when its connection is available, through a source that may refuse; GatewayFrontend::BeginWrite looks at the caller's socket there. The one place covers first attempts, retries, requests to and from other instances. HttpConnection::HasPeerClosed reads ahead up to the size of a header, so that a close behind pipelined bytes is seen, and a request that was read ahead of a close isn't served. Nothing is sent for a departed caller, so its workspace gets its token back.

Ruled out: a close lost in the relay; both hops had the same cause.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -247,15 +247,6 @@
   }
 }
 
-void GatewayFrontend::MeasureWrite(TargetExchange& aExchange,
-                                   ForwardedRequest& aRequest)
-{
-  aExchange.OnWrite([this, &aRequest](TimePoint aNow) {
-    aRequest.mWrite = { .mAge = aNow - aRequest.mReceivedAt,
-                        .mLoopLag = mState.mLoopLag(aNow) };
-  });
-}
-
 RetryBudget& GatewayFrontend::BudgetOf(const ServiceName& aService)
 {
   const auto it = mBudgets.find(aService);
@@ -559,6 +550,31 @@
                        });
 }
 
+bool GatewayFrontend::BeginWrite(HttpConnection& aConnection,
+                                 ForwardedRequest& aRequest)
+{
+  // The event that reports a close may wait behind other work.
+  if (aConnection.HasPeerClosed()) {
+    aRequest.mCallerGone = true;
+  }
+  if (aRequest.mCallerGone) {
+    return false;
+  }
+  const TimePoint now = SteadyNow();
+  aRequest.mWrite = { .mAge = now - aRequest.mReceivedAt,
+                      .mLoopLag = mState.mLoopLag(now) };
+  return true;
+}
+
+void GatewayFrontend::EndAbandoned(const ForwardedRequest& aRequest)
+{
+  if (!aRequest.mWrite && aRequest.mWorkspace && !aRequest.mIsRelayed) {
+    mState.mQuota.Refund(aRequest.mWorkspace->mName);
+  }
+  LogEnd(
+    aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
+}
+
 std::shared_ptr<const TextRequest> GatewayFrontend::MakeTargetRequest(
   const ForwardedRequest& aRequest,
   const TargetState& aTarget) const
@@ -657,18 +673,19 @@
   TargetExchange exchange(
     mPool, mState.mPlatform, mState.mReachability, mAnnouncements, target);
   aRequest.mExchange = &exchange;
-  MeasureWrite(exchange, aRequest);
   const TimePoint sentAt = SteadyNow();
   aRequest.mSentAt = sentAt;
   const double load = target->EstimatedLoad(sentAt);
-  auto answer = co_await exchange.Run(MakeTargetRequest(aRequest, *target),
-                                      maxIdleTime,
-                                      aRequest.mDeadline,
-                                      aRequest.mDeadline + kAnswerGrace);
+  const TargetExchange::RequestSource source = [&] {
+    return BeginWrite(aConnection, aRequest)
+             ? MakeTargetRequest(aRequest, *target)
+             : nullptr;
+  };
+  auto answer = co_await exchange.Run(
+    source, maxIdleTime, aRequest.mDeadline, aRequest.mDeadline + kAnswerGrace);
   aRequest.mExchange = nullptr;
   if (aRequest.mCallerGone) {
-    LogEnd(
-      aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
+    EndAbandoned(aRequest);
     co_return true;
   }
   if (!answer.mFailure &&
@@ -729,22 +746,25 @@
   RequestRelay::Attempt attempt(mRelay, *peer);
   TargetExchange exchange = attempt.MakeExchange(mState.mPlatform);
   aRequest.mExchange = &exchange;
-  MeasureWrite(exchange, aRequest);
   const TimePoint sentAt = SteadyNow();
   const bool isRepeatable =
     aRequest.mRule->mExecution == RouteExecution::Idempotent;
-  auto answer = co_await exchange.Run(
-    mRelay.MakeRequest(
-      aRequest,
-      mState.mPlatform,
-      std::max(1u, aRequest.mMaxAttempts - aRequest.mAttempts)),
-    isRepeatable ? kMaxIdleRepeatable : kMaxIdleUnrepeatable,
-    aRequest.mDeadline,
-    aRequest.mDeadline + kAnswerGrace);
+  const TargetExchange::RequestSource source = [&] {
+    return BeginWrite(aConnection, aRequest)
+             ? mRelay.MakeRequest(
+                 aRequest,
+                 mState.mPlatform,
+                 std::max(1u, aRequest.mMaxAttempts - aRequest.mAttempts))
+             : nullptr;
+  };
+  auto answer = co_await exchange.Run(source,
+                                      isRepeatable ? kMaxIdleRepeatable
+                                                   : kMaxIdleUnrepeatable,
+                                      aRequest.mDeadline,
+                                      aRequest.mDeadline + kAnswerGrace);
   aRequest.mExchange = nullptr;
   if (aRequest.mCallerGone) {
-    LogEnd(
-      aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
+    EndAbandoned(aRequest);
     co_return true;
   }
   const unsigned attempts = RequestRelay::ReadRefusal(answer);
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -143,6 +143,11 @@
   /// Returns the time after which a request that found no target or no free
   /// slot may succeed.
   Duration RetryAfterNoTarget(const ForwardedRequest& aRequest);
+  /// Called directly before a request is written to a target or another
+  /// instance. Returns false if its caller no longer waits for the answer.
+  bool BeginWrite(HttpConnection& aConnection, ForwardedRequest& aRequest);
+  /// Ends a request whose caller has disconnected.
+  void EndAbandoned(const ForwardedRequest& aRequest);
   std::shared_ptr<const TextRequest> MakeTargetRequest(
     const ForwardedRequest& aRequest,
     const TargetState& aTarget) const;
@@ -163,8 +168,6 @@
               ResultCode aCode,
               std::string_view aDetail);
   double RetrySlack() const;
-  /// Records in the request when `aExchange` writes it.
-  void MeasureWrite(TargetExchange& aExchange, ForwardedRequest& aRequest);
   RetryBudget& BudgetOf(const ServiceName& aService);
 
   asio::any_io_executor mExecutor;
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace pollenway {
@@ -13,6 +14,8 @@
 /// answer was sent before the body was complete, or if more bytes follow.
 constexpr auto kMaxUnreadBodyTime = std::chrono::seconds(1);
 constexpr size_t kMaxUnreadBodyBytes = 1024 * 1024;
+/// Size of one read beyond the current request.
+constexpr size_t kReadAheadBytes = 4096;
 
 } // namespace
 
@@ -34,6 +37,10 @@
   mParser.emplace();
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   ErrorCode ec;
+  if (mPeerClosed) {
+    // Nobody waits for an answer to a request that was read ahead.
+    co_return false;
+  }
   if (mBuffer.size() == 0) {
     // The keep-alive time-out applies until the first byte, the header time-out
     // after it.
@@ -282,7 +289,12 @@
 void HttpConnection::WatchDisconnect(std::function<void()> aCallback)
 {
   mOnDisconnect = std::move(aCallback);
-  if (mWatching || mBuffer.size() > 0) {
+  WaitReadable();
+}
+
+void HttpConnection::WaitReadable()
+{
+  if (mWatching || mBuffer.size() >= mLimits.mHeaderBytes) {
     return;
   }
   mWatching = true;
@@ -299,17 +311,26 @@
   if (aError || mAnswered || !mOnDisconnect) {
     return;
   }
-  char byte;
+  if (!HasPeerClosed()) {
+    WaitReadable();
+    return;
+  }
+  auto callback = std::exchange(mOnDisconnect, nullptr);
+  callback();
+}
+
+bool HttpConnection::HasPeerClosed()
+{
   ErrorCode ec;
   mStream.socket().non_blocking(true, ec);
-  const size_t n = mStream.socket().receive(
-    asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
-  // Readable data is a pipelined request; only end of stream or an error is a
-  // disconnect.
-  if (n == 0 && ec != asio::error::would_block) {
-    auto callback = std::exchange(mOnDisconnect, nullptr);
-    callback();
+  while (!ec && !mPeerClosed && mBuffer.size() < mLimits.mHeaderBytes) {
+    const size_t size =
+      std::min(kReadAheadBytes, mLimits.mHeaderBytes - mBuffer.size());
+    const size_t n = mStream.socket().receive(mBuffer.prepare(size), 0, ec);
+    mBuffer.commit(n);
+    mPeerClosed = ec && ec != asio::error::would_block;
   }
+  return mPeerClosed;
 }
 
 Awaitable<void> HttpConnection::CloseAfterUnreadBody()
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -61,6 +61,11 @@
   /// request is answered. Call after the body was read, at most once per
   /// request.
   void WatchDisconnect(std::function<void()> aCallback);
+  /// Returns true if the peer has closed the connection. Looks at the socket
+  /// and reads ahead what the peer has sent beyond the current request, up to
+  /// the maximum size of a header; a close behind more bytes is not seen. Does
+  /// not wait. Call after the body was read.
+  bool HasPeerClosed();
 
   /// Closes the connection after the current request is answered.
   void CloseAfterAnswer() { mCloseAfterAnswer = true; }
@@ -99,6 +104,7 @@
   template<typename Buffers>
   Awaitable<ErrorCode> WriteAll(Buffers aBuffers);
   void OnReadable(const ErrorCode& aError);
+  void WaitReadable();
 
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
@@ -107,6 +113,7 @@
   std::optional<Parser> mParser;
   std::function<void()> mOnDisconnect;
   bool mWatching = false;
+  bool mPeerClosed = false;
   bool mContinueSent = false;
   bool mAnswered = false;
   bool mChunked = false;
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -73,11 +73,10 @@
   aAnswer.mDetail = std::move(aDetail);
 }
 
-Awaitable<TargetAnswer> TargetExchange::Run(
-  std::shared_ptr<const TextRequest> aRequest,
-  Duration aMaxIdleTime,
-  TimePoint aSendBy,
-  TimePoint aDeadline)
+Awaitable<TargetAnswer> TargetExchange::Run(const RequestSource& aSource,
+                                            Duration aMaxIdleTime,
+                                            TimePoint aSendBy,
+                                            TimePoint aDeadline)
 {
   TargetAnswer answer;
   const TimePoint startedAt = SteadyNow();
@@ -113,12 +112,14 @@
     Fail(answer, AttemptFailure::TargetClosed, "the target takes no requests");
     co_return answer;
   }
-  if (mOnWrite) {
-    mOnWrite(SteadyNow());
+  const auto request = aSource();
+  if (!request) {
+    Fail(answer, AttemptFailure::Timeout, "ended before it was sent");
+    co_return answer;
   }
   answer.mBytesSent = true;
   const bool hasHeader =
-    co_await ReadMatchingHeader(aRequest, aDeadline, answer);
+    co_await ReadMatchingHeader(request, aDeadline, answer);
   if (hasHeader) {
     co_await ReadBody(aDeadline, answer);
   }
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -34,6 +34,10 @@
 class TargetExchange
 {
 public:
+  /// Makes the request when it is about to be written, so that its remaining
+  /// time is current. Returns null if it must not be sent any more.
+  using RequestSource = std::function<std::shared_ptr<const TextRequest>()>;
+
   TargetExchange(HttpClientPool& aPool,
                  const PlatformAdapter& aPlatform,
                  TargetReachability& aReachability,
@@ -45,17 +49,13 @@
                  tcp::endpoint aPeer);
   ~TargetExchange();
 
-  /// Sets a function that is called when the request is about to be written.
-  void OnWrite(std::function<void(TimePoint)> aCallback)
-  {
-    mOnWrite = std::move(aCallback);
-  }
   /// Sends the request by `aSendBy` and reads the answer until `aDeadline`.
-  /// Sends nothing if the target is closed to this instance when a connection
-  /// is available.
+  /// All conditions of sending are checked when a connection is available,
+  /// directly before the first byte is written: sends nothing if the target is
+  /// closed to this instance or `aSource` returns null.
   /// Rejects answers to other requests, and unsigned or encoded answers that
   /// report success.
-  Awaitable<TargetAnswer> Run(std::shared_ptr<const TextRequest> aRequest,
+  Awaitable<TargetAnswer> Run(const RequestSource& aSource,
                               Duration aMaxIdleTime,
                               TimePoint aSendBy,
                               TimePoint aDeadline);
@@ -95,7 +95,6 @@
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
-  std::function<void(TimePoint)> mOnWrite;
   bool mCancelled = false;
 };
 
--- a/test/platform/TargetExchange.cpp
+++ b/test/platform/TargetExchange.cpp
@@ -55,10 +55,10 @@
       TargetExchange exchange(
         pool, platform, reachability, announcements, target);
       const TimePoint until = SteadyNow() + row.mTimeLeft;
-      auto request =
-        std::make_shared<const TextRequest>(http::verb::get, "/", 11);
-      const auto answer =
-        co_await exchange.Run(std::move(request), 0ms, until, until);
+      const TargetExchange::RequestSource source = [] {
+        return std::make_shared<const TextRequest>(http::verb::get, "/", 11);
+      };
+      const auto answer = co_await exchange.Run(source, 0ms, until, until);
       REQUIRE(answer.mFailure);
       CHECK(*answer.mFailure == row.mFailure);
       CHECK_FALSE(answer.mBytesSent);
@@ -125,10 +125,10 @@
       TargetExchange exchange(
         pool, platform, reachability, announcements, target);
       const TimePoint until = SteadyNow() + 6s;
-      auto request =
-        std::make_shared<const TextRequest>(http::verb::get, "/", 11);
-      const auto answer =
-        co_await exchange.Run(std::move(request), 0ms, until, until);
+      const TargetExchange::RequestSource source = [] {
+        return std::make_shared<const TextRequest>(http::verb::get, "/", 11);
+      };
+      const auto answer = co_await exchange.Run(source, 0ms, until, until);
       REQUIRE(answer.mFailure);
       CHECK((*answer.mFailure == AttemptFailure::TargetClosed) != row.mIsSent);
       CHECK(answer.mBytesSent == row.mIsSent);
