Count the event loop's lag in a request's age

A request whose caller's time had run out while it waited unread was sent to a target with its whole time.

Cause: a request's age began when its head had been parsed. What it waited for the event loop counted as nothing.

Change: the age begins earlier by the loop's lag, as measured by its 50 ms timer. Connections don't wait elsewhere any more since all are accepted at once. A request that waited less than the lag loses up to the lag of its time; it would have been late.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -273,7 +273,10 @@
   }
   auto request = std::make_shared<ForwardedRequest>();
   request->mIsRelayed = aIsRelayed;
-  request->mReceivedAt = SteadyNow();
+  // The request has waited for the event loop, at most about as long as the
+  // loop's timers.
+  const TimePoint now = SteadyNow();
+  request->mReceivedAt = now - mState.mLoopLag(now);
   request->mHeader = aConnection.Header();
   request->mId =
     FieldText(request->mHeader, mState.mPlatform.Fields().mRequestId);
