Log and count in which region requests are placed, and why

Nothing told apart the plan's shares, queues, rejections and retries as reasons for which requests change the region in which they run.

- PlacementWatch: event placement_changed, if the plan places at least 0.03 of a service's requests in other regions than last logged, with the demand and the slots that determined it and the age of the oldest summary; 20 lines a second at most.
- SelectionReason, from TargetRanking::Choose; in the event request with the target's region, and as pollenway_selections_total by region and reason (SelectionCounts).

No choice of a target changes.

--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -7,6 +7,7 @@
 #include "RequestFingerprint.h"
 #include "RequestStage.h"
 #include "RoutingTable.h"
+#include "SelectionReason.h"
 #include "Time.h"
 
 #include <memory>
@@ -43,6 +44,9 @@
   TimePoint mCallerDeadline = TimePoint::max();
   RequestStage mStage = RequestStage::ReadingBody;
   std::vector<TargetName> mTried;
+  /// Region of the last target in `mTried`, and why it was selected.
+  RegionName mTargetRegion;
+  SelectionReason mSelectionReason = SelectionReason::Planned;
   /// Addresses of the targets in `mTried`; several targets may share one.
   std::vector<IpEndpoint> mTriedAddresses;
   /// True if another instance has received the request from its caller and
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -534,20 +534,19 @@
   return time + FromSeconds(mRandom.Uniform() * ToSeconds(kMaxRetrySpread));
 }
 
-std::shared_ptr<TargetState> GatewayFrontend::ChooseTarget(
-  ForwardedRequest& aRequest)
+TargetRanking::Choice GatewayFrontend::ChooseTarget(ForwardedRequest& aRequest)
 {
   const TimePoint now = SteadyNow();
   const auto* service = aRequest.mTable->FindService(aRequest.mService);
   const double coldRate = service ? service->mColdRate : 0;
   const auto request = RankingRequest(aRequest);
-  return mRanking.Pick(mState.mTargets,
-                       mState.mPlan.SharesOf(aRequest.mService),
-                       request,
-                       now,
-                       [&](const TargetState& aTarget) {
-                         return mState.mCold.TryAdmit(aTarget, coldRate, now);
-                       });
+  return mRanking.Choose(mState.mTargets,
+                         mState.mPlan.SharesOf(aRequest.mService),
+                         request,
+                         now,
+                         [&](const TargetState& aTarget) {
+                           return mState.mCold.TryAdmit(aTarget, coldRate, now);
+                         });
 }
 
 std::shared_ptr<const TextRequest> GatewayFrontend::MakeTargetRequest(
@@ -632,7 +631,7 @@
 {
   const bool isRepeatable =
     aRequest.mRule->mExecution == RouteExecution::Idempotent;
-  const auto target = ChooseTarget(aRequest);
+  const auto [target, reason] = ChooseTarget(aRequest);
   if (!target) {
     co_await Refuse(aConnection,
                     aRequest,
@@ -645,6 +644,9 @@
   const Duration maxIdleTime = MaxIdleTime(aRequest, address);
   aRequest.mTried.push_back(target->Record().mName);
   aRequest.mTriedAddresses.push_back(address);
+  aRequest.mTargetRegion = target->Region();
+  aRequest.mSelectionReason = reason;
+  mLog.OnSelected(aRequest);
   TargetExchange exchange(
     mPool, mState.mPlatform, mState.mReachability, mAnnouncements, target);
   aRequest.mExchange = &exchange;
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -134,7 +134,7 @@
   std::optional<ResultCode> DecideRetry(ForwardedRequest& aRequest,
                                         const struct TargetAnswer& aAnswer);
   TargetRanking::Request RankingRequest(const ForwardedRequest& aRequest) const;
-  std::shared_ptr<TargetState> ChooseTarget(ForwardedRequest& aRequest);
+  TargetRanking::Choice ChooseTarget(ForwardedRequest& aRequest);
   void OnAnnouncement(const TargetAnnouncements::Change& aChange);
   /// Returns the time after which a request that found no target or no free
   /// slot may succeed.
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -611,17 +611,50 @@
   for (const auto& it : mDemand.Rates()) {
     demand[it.mService][mSettings.mZone] += it.mRate;
   }
+  Duration demandAge{};
+  size_t zones = 1;
   for (const auto* peer : mInstances.Live(aNow)) {
+    demandAge = std::max(demandAge, aNow - peer->mLastReceivedAt);
     for (const auto& it : peer->mSummary.mServiceRates) {
       demand[it.mService][peer->mSummary.mZone] += it.mRate;
     }
   }
   for (const auto* zone : mRemoteZones.LiveZones(aNow)) {
+    ++zones;
+    demandAge = std::max(
+      demandAge,
+      mRemoteZones.AgeOf(zone->mZone, aNow).value_or(Duration::zero()));
     for (const auto& it : zone->mServiceRates) {
       demand[it.mService][zone->mZone] += it.mRate;
     }
   }
   mPlan.Update(mTargets, demand);
+  LogPlanChanges(zones, demandAge, aNow);
+}
+
+void GatewayServer::LogPlanChanges(size_t aZones,
+                                   Duration aDemandAge,
+                                   TimePoint aNow)
+{
+  for (const auto& service : mTargets.Services()) {
+    const auto& shares = mPlan.SharesOf(service);
+    const auto change = mPlacementWatch.OnUpdate(service, shares, aNow);
+    if (!change) {
+      continue;
+    }
+    Log(LogLevel::Info,
+        "placement_changed",
+        { { "service", service.Text() },
+          { "before", Text(change->mBefore) },
+          { "after", Text(change->mAfter) },
+          { "moved", change->mMoved },
+          { "region_demand", shares.mRegionDemand },
+          { "total_demand", shares.mTotalDemand },
+          { "region_slots", shares.mRegionSlots },
+          { "total_slots", shares.mTotalSlots },
+          { "zones", uint64_t(aZones) },
+          { "demand_age_ms", int64_t(ToSeconds(aDemandAge) * 1000) } });
+  }
 }
 
 InstanceSummary GatewayServer::MakeSummary()
--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -13,6 +13,7 @@
 #include "ObjectStore.h"
 #include "PeerTransport.h"
 #include "PlatformAdapter.h"
+#include "PlacementWatch.h"
 #include "RelayedStore.h"
 #include "RemoteZones.h"
 #include "StateFeed.h"
@@ -96,6 +97,9 @@
                        StorePosition aTargets,
                        StorePosition aEvacuations);
   void UpdatePlan(TimePoint aNow);
+  /// Logs notable changes of the plan. `aDemandAge` is the age of the oldest
+  /// summary that it is computed from.
+  void LogPlanChanges(size_t aZones, Duration aDemandAge, TimePoint aNow);
   void OnConfiguration(const std::string& aValue, uint64_t aRevision);
   /// `aVersion` is the version of the store's object.
   void OnTarget(const std::string& aName,
@@ -140,6 +144,7 @@
   CrashLedger mCrashes;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
+  PlacementWatch mPlacementWatch;
   TargetReachability mReachability;
   GatewayFrontend mFrontend;
   GatewayDirectory mDirectory;
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -157,6 +157,7 @@
   for (const auto& [result, count] : mSources.mFrontend.Requests().Attempts()) {
     writer.Sample({ { "result", result } }, count);
   }
+  mSources.mFrontend.Requests().Selections().WriteTo(writer);
   writer.Begin("pollenway_relayed_attempts_total",
                "counter",
                "Attempts through other instances by result.");
--- a/src/PlacementPlan.cpp
+++ b/src/PlacementPlan.cpp
@@ -27,6 +27,24 @@
     1.0, kMaxLocalLoadFactor * (aSlots / aTotalSlots) / aDemandFraction);
 }
 
+/// Returns the share of the objects that have their home in each region.
+/// `aWeights` are the sums of the slots' weights.
+std::map<RegionName, double> RegionShares(const RegionName& aOwnRegion,
+                                          double aOwnShare,
+                                          std::map<RegionName, double> aWeights)
+{
+  aWeights.erase(aOwnRegion);
+  double sum = 0;
+  for (const auto& [region, weight] : aWeights) {
+    sum += weight;
+  }
+  for (auto& [region, weight] : aWeights) {
+    weight = sum > 0 ? (1 - aOwnShare) * weight / sum : 0;
+  }
+  aWeights[aOwnRegion] = sum > 0 ? aOwnShare : 1;
+  return aWeights;
+}
+
 } // namespace
 
 PlacementPlan::PlacementPlan(ZoneName aZone,
@@ -77,23 +95,34 @@
   const auto ownRegion = mRegionOf.find(mZone);
   double regionSlots = 0;
   double regionDemand = 0;
+  std::map<RegionName, double> weights;
   PlacementShares out;
   for (const auto& [zone, region] : mRegionOf) {
     if (ownRegion != mRegionOf.end() && region == ownRegion->second) {
       regionSlots += slots[zone];
       regionDemand += demandFraction(zone);
+      const auto rate = aDemand.find(zone);
+      out.mRegionDemand += rate == aDemand.end() ? 0 : rate->second;
     }
     const double slotFraction = totalSlots > 0 ? slots[zone] / totalSlots : 0;
     const double spare = slotFraction - demandFraction(zone);
     out.mSlotWeights[zone] = slotFraction > 0
                                ? std::max(kMinSlotWeight, spare / slotFraction)
                                : kMinSlotWeight;
+    weights[region] += slots[zone] * out.mSlotWeights[zone];
   }
   out.mRegion = LocalShare(regionSlots, totalSlots, regionDemand);
+  out.mRegionSlots = regionSlots;
+  out.mTotalSlots = totalSlots;
+  out.mTotalDemand = measuredDemand;
   // A region with too little capacity places objects of all its zones
   // elsewhere.
   out.mZone = std::min(
     out.mRegion, LocalShare(slots[mZone], totalSlots, demandFraction(mZone)));
+  if (ownRegion != mRegionOf.end()) {
+    out.mRegionShares =
+      RegionShares(ownRegion->second, out.mRegion, std::move(weights));
+  }
   return out;
 }
 
--- a/src/PlacementPlan.h
+++ b/src/PlacementPlan.h
@@ -19,6 +19,14 @@
   /// Weight of a slot for the objects that are placed outside the zone or the
   /// region. Zones with more capacity than their own callers need weigh more.
   std::map<ZoneName, double> mSlotWeights;
+  /// Share of the objects that have their home in each region.
+  std::map<RegionName, double> mRegionShares;
+  /// Values that determined the shares, for the log: slots, and requests per
+  /// second as measured.
+  double mRegionSlots = 0;
+  double mTotalSlots = 0;
+  double mRegionDemand = 0;
+  double mTotalDemand = 0;
 };
 
 /// Determines how near to its callers each object may have its home: in the
--- /dev/null
+++ b/src/PlacementWatch.cpp
@@ -0,0 +1,66 @@
+#include "PlacementWatch.h"
+
+#include <cmath>
+#include <cstdio>
+
+namespace pollenway {
+
+namespace {
+
+/// Share of a service's requests whose region must change before the change is
+/// reported.
+constexpr double kNotableShare = 0.03;
+/// Maximum number of reported changes per second, over all services.
+constexpr unsigned kMaxReportsPerSecond = 20;
+
+} // namespace
+
+PlacementWatch::PlacementWatch()
+  : mLogRateLimit(kMaxReportsPerSecond)
+{
+}
+
+std::optional<PlacementWatch::Change> PlacementWatch::OnUpdate(
+  const ServiceName& aService,
+  const PlacementShares& aShares,
+  TimePoint aNow)
+{
+  const auto& after = aShares.mRegionShares;
+  const auto [it, isNew] = mReported.try_emplace(aService);
+  const double moved = MovedShare(it->second, after);
+  if ((!isNew && moved < kNotableShare) || !mLogRateLimit.Allow(aNow)) {
+    return std::nullopt;
+  }
+  return Change{ .mBefore = std::exchange(it->second, after),
+                 .mAfter = after,
+                 .mMoved = moved };
+}
+
+double MovedShare(const PlacementWatch::RegionShares& aBefore,
+                  const PlacementWatch::RegionShares& aAfter)
+{
+  double sum = 0;
+  for (const auto& [region, share] : aBefore) {
+    const auto it = aAfter.find(region);
+    sum += std::abs(share - (it == aAfter.end() ? 0 : it->second));
+  }
+  for (const auto& [region, share] : aAfter) {
+    if (!aBefore.contains(region)) {
+      sum += share;
+    }
+  }
+  return sum / 2;
+}
+
+std::string Text(const PlacementWatch::RegionShares& aShares)
+{
+  std::string out;
+  for (const auto& [region, share] : aShares) {
+    char buf[16];
+    std::snprintf(buf, sizeof buf, ":%.2f", share);
+    out += (out.empty() ? "" : ",") + region.Text() + buf;
+  }
+  return out;
+}
+
+} // namespace pollenway
--- a/src/RequestLog.cpp
+++ b/src/RequestLog.cpp
@@ -20,6 +20,11 @@
 {
 }
 
+void RequestLog::OnSelected(const ForwardedRequest& aRequest)
+{
+  mSelections.Add(aRequest.mTargetRegion, aRequest.mSelectionReason);
+}
+
 void RequestLog::OnAttempt(const ForwardedRequest& aRequest,
                            const TargetState& aTarget,
                            const Attempt& aAttempt,
@@ -91,6 +96,8 @@
         { "target",
           aRequest.mTried.empty() ? std::string()
                                   : aRequest.mTried.back().Text() },
+        { "region", aRequest.mTargetRegion.Text() },
+        { "selected", Name(aRequest.mSelectionReason) },
         { "attempts", aRequest.mTried.size() },
         { "table", aRequest.mTable ? aRequest.mTable->Version() : 0 },
         { "ms", int64_t(ToSeconds(latency) * 1000) },
--- a/src/RequestLog.h
+++ b/src/RequestLog.h
@@ -4,6 +4,7 @@
 #include "MetricsRegistry.h"
 #include "ResultCode.h"
 #include "RetryPolicy.h"
+#include "SelectionCounts.h"
 #include "Time.h"
 
 #include <cstdint>
@@ -39,6 +40,8 @@
 
   RequestLog();
 
+  /// Called when a target was selected for an attempt.
+  void OnSelected(const ForwardedRequest& aRequest);
   void OnAttempt(const ForwardedRequest& aRequest,
                  const TargetState& aTarget,
                  const Attempt& aAttempt,
@@ -69,11 +72,13 @@
     return mServedForPeers;
   }
   const MetricsRegistry& Metrics() const { return mMetrics; }
+  const SelectionCounts& Selections() const { return mSelections; }
   /// Number of attempts at targets by result.
   const std::map<std::string, uint64_t>& Attempts() const { return mAttempts; }
 
 private:
   MetricsRegistry mMetrics;
+  SelectionCounts mSelections;
   std::map<std::string, uint64_t> mAttempts;
   std::map<std::string, uint64_t> mServedForPeers;
   LogRateLimit mLogRateLimit;
--- a/src/TargetRanking.cpp
+++ b/src/TargetRanking.cpp
@@ -131,13 +131,29 @@
   const Request& aRequest,
   TimePoint aNow,
   const ColdCheck& aMayUseCold) const
+{
+  return Choose(aTable, aShares, aRequest, aNow, aMayUseCold).mTarget;
+}
+
+TargetRanking::Choice TargetRanking::Choose(const TargetTable& aTable,
+                                            const PlacementShares& aShares,
+                                            const Request& aRequest,
+                                            TimePoint aNow,
+                                            const ColdCheck& aMayUseCold) const
 {
   const auto ranked = Rank(aTable, aShares, aRequest);
   std::shared_ptr<TargetState> best;
   double bestSeconds = std::numeric_limits<double>::max();
+  double bestSecondsUnshed = 0;
+  double homeSecondsUnshed = 0;
+  auto reason = SelectionReason::Planned;
   size_t compared = 0;
   for (const auto& it : ranked) {
+    const bool isHome = &it == &ranked.front();
     if (it.mTarget->IsPaused(aNow) || IsClosed(aRequest, *it.mTarget, aNow)) {
+      if (isHome) {
+        reason = SelectionReason::Unavailable;
+      }
       continue;
     }
     const auto& target = *it.mTarget;
@@ -146,20 +162,35 @@
     const double rounds = std::max(1.0,
                                    (target.EstimatedLoad(aNow) + 1) /
                                      std::max(1U, target.Record().mSlots));
-    const double seconds =
-      (ToSeconds(target.RoundTrip()) +
-       runSeconds * (rounds + (compared == 0 ? 0 : kColdRunFactor - 1))) *
-      (1 + 2 * target.ShedShare(aNow));
-    if (seconds < bestSeconds &&
-        (!target.IsCold(aNow) || aMayUseCold(target))) {
-      best = it.mTarget;
-      bestSeconds = seconds;
+    const double secondsUnshed =
+      ToSeconds(target.RoundTrip()) +
+      runSeconds * (rounds + (compared == 0 ? 0 : kColdRunFactor - 1));
+    const double seconds = secondsUnshed * (1 + 2 * target.ShedShare(aNow));
+    if (isHome) {
+      homeSecondsUnshed = secondsUnshed;
+    }
+    if (seconds < bestSeconds) {
+      if (!target.IsCold(aNow) || aMayUseCold(target)) {
+        best = it.mTarget;
+        bestSeconds = seconds;
+        bestSecondsUnshed = secondsUnshed;
+      } else if (isHome) {
+        reason = SelectionReason::ColdLimit;
+      }
     }
     if (++compared >= kComparedCandidates && best) {
       break;
     }
   }
-  return best;
+  if (!aRequest.mTried.empty()) {
+    reason = SelectionReason::Retry;
+  } else if (reason == SelectionReason::Planned && best &&
+             best != ranked.front().mTarget) {
+    reason = bestSecondsUnshed < homeSecondsUnshed
+               ? SelectionReason::Queue
+               : SelectionReason::Rejections;
+  }
+  return { std::move(best), reason };
 }
 
 } // namespace pollenway
--- a/src/TargetRanking.h
+++ b/src/TargetRanking.h
@@ -2,6 +2,7 @@
 
 #include "Ids.h"
 #include "PlacementPlan.h"
+#include "SelectionReason.h"
 #include "TargetTable.h"
 
 #include <cstdint>
@@ -43,9 +44,21 @@
   /// receive no request now.
   using ColdCheck = std::function<bool(const TargetState&)>;
 
+  struct Choice
+  {
+    /// Null if no target may receive the request.
+    std::shared_ptr<TargetState> mTarget;
+    SelectionReason mReason = SelectionReason::Planned;
+  };
+
   TargetRanking(ZoneName aZone, RegionName aRegion);
 
-  /// Returns the selected target, or null if no target may receive the request.
+  Choice Choose(const TargetTable& aTable,
+                const PlacementShares& aShares,
+                const Request& aRequest,
+                TimePoint aNow,
+                const ColdCheck& aMayUseCold) const;
+  /// Returns the target that `Choose` selects.
   std::shared_ptr<TargetState> Pick(const TargetTable& aTable,
                                     const PlacementShares& aShares,
                                     const Request& aRequest,
