--- a/test/RegionFleet.h
+++ b/test/RegionFleet.h
@@ -51,7 +51,7 @@
 constexpr double kZoneRoundTrip = 0.0002;
 constexpr double kRegionRoundTrip = 0.0005;
 constexpr double kRemoteRoundTrip = 0.055;
-constexpr double kTickSeconds = 1;
+constexpr double kTickSeconds = 0.5;
 /// Time between the start of the instances and the first request.
 constexpr double kLeadSeconds = 8;
 
