--- a/src/GatewayServer.h
+++ b/src/GatewayServer.h
@@ -13,6 +13,7 @@
 #include "InstanceTable.h"
 #include "ObjectStore.h"
 #include "PeerTransport.h"
+#include "PlacementWatch.h"
 #include "PlatformAdapter.h"
 #include "RelayedStore.h"
 #include "RemoteZones.h"
@@ -99,6 +100,9 @@
                        StorePosition aTargets,
                        StorePosition aEvacuations);
   void UpdatePlan(TimePoint aNow);
+  /// Logs notable changes of the plan. `aDemandAge` is the age of the oldest
+  /// summary that it is computed from.
+  void LogPlanChanges(size_t aZones, Duration aDemandAge, TimePoint aNow);
   void OnConfiguration(const std::string& aValue, uint64_t aRevision);
   /// `aVersion` is the version of the store's object.
   void OnTarget(const std::string& aName,
@@ -143,6 +147,7 @@
   CrashLedger mCrashes;
   ServiceDemand mDemand;
   PlacementPlan mPlan;
+  PlacementWatch mPlacementWatch;
   TargetReachability mReachability;
   EventLoopLag mLoopLag;
   GatewayFrontend mFrontend;
