Change the regions of the placement plan at a limited rate

Cause: PlacementPlan was computed anew twice a second from the demand as measured, and used at once, on all instances in the same moment. The first own request was the whole measured demand. Slots and their weights decided the region and the target together, so new targets moved objects between regions.

Ruled out: queues (under a tenth of what leaves the region), different views of instances. Rejections by full targets are a second cause and stay open.

Change: RegionShares; the plan moves 0.015 of a service's requests a second at most once this instance uses the service; evacuated zones and regions without slots are left at once. TargetRanking selects an object's region by the plan's shares, then the target in it.

PlacementPlan has rows for the limited rate and for evacuation.

Tried and removed: a limiter of requests that leave the region of their home for a queue or a rejection.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <chrono>
+#include <set>
 
 namespace pollenway {
 
@@ -621,8 +622,10 @@
 {
   mDemand.Update(aNow);
   std::map<ServiceName, PlacementPlan::ZoneDemand> demand;
+  std::set<ServiceName> usedServices;
   for (const auto& it : mDemand.Rates()) {
     demand[it.mService][mSettings.mZone] += it.mRate;
+    usedServices.insert(it.mService);
   }
   Duration demandAge{};
   size_t zones = 1;
@@ -641,7 +644,7 @@
       demand[it.mService][zone->mZone] += it.mRate;
     }
   }
-  mPlan.Update(mTargets, demand);
+  mPlan.Update(mTargets, demand, usedServices, aNow);
   LogPlanChanges(zones, demandAge, aNow);
 }
 
--- a/src/PlacementPlan.cpp
+++ b/src/PlacementPlan.cpp
@@ -17,6 +17,12 @@
 /// Minimum weight of a slot in a zone without spare capacity, so that an object
 /// can be placed when no zone has any.
 constexpr double kMinSlotWeight = 0.05;
+/// Maximum share of a service's requests per second that the plan moves to
+/// another region. The operators allow 0.15 in 2 s, and requests that leave
+/// their home for its queue, and the choice of the objects, add to it.
+constexpr double kMaxMovedPerSecond = 0.015;
+/// Maximum time between two updates that counts for the change.
+constexpr double kMaxUpdateSeconds = 1;
 
 double LocalShare(double aSlots, double aTotalSlots, double aDemandFraction)
 {
@@ -27,11 +33,11 @@
     1.0, kMaxLocalLoadFactor * (aSlots / aTotalSlots) / aDemandFraction);
 }
 
-/// Returns the share of the objects that have their home in each region.
-/// `aWeights` are the sums of the slots' weights.
-std::map<RegionName, double> RegionShares(const RegionName& aOwnRegion,
-                                          double aOwnShare,
-                                          std::map<RegionName, double> aWeights)
+/// Distributes the objects that are not placed in the own region over the
+/// others. `aWeights` are the sums of the slots' weights.
+RegionShares DistributeOverRegions(const RegionName& aOwnRegion,
+                                   double aOwnShare,
+                                   RegionShares aWeights)
 {
   aWeights.erase(aOwnRegion);
   double sum = 0;
@@ -41,7 +47,9 @@
   for (auto& [region, weight] : aWeights) {
     weight = sum > 0 ? (1 - aOwnShare) * weight / sum : 0;
   }
-  aWeights[aOwnRegion] = sum > 0 ? aOwnShare : 1;
+  if (sum <= 0 || aOwnShare > 0) {
+    aWeights[aOwnRegion] = sum > 0 ? aOwnShare : 1;
+  }
   return aWeights;
 }
 
@@ -55,16 +63,62 @@
 }
 
 void PlacementPlan::Update(const TargetTable& aTable,
-                           const std::map<ServiceName, ZoneDemand>& aDemand)
+                           const std::map<ServiceName, ZoneDemand>& aDemand,
+                           const std::set<ServiceName>& aUsedServices,
+                           TimePoint aNow)
 {
   static const ZoneDemand kNoDemand;
-  mShares.clear();
+  const double maxMoved =
+    kMaxMovedPerSecond *
+    std::min(kMaxUpdateSeconds, ToSeconds(aNow - mUpdatedAt));
+  mUpdatedAt = aNow;
+  std::unordered_map<ServiceName, PlacementShares> shares;
   for (const auto& service : aTable.Services()) {
-    const auto it = aDemand.find(service);
-    mShares.emplace(
-      service,
-      Compute(aTable, service, it == aDemand.end() ? kNoDemand : it->second));
+    const auto demand = aDemand.find(service);
+    auto wanted = Compute(
+      aTable, service, demand == aDemand.end() ? kNoDemand : demand->second);
+    const auto current = mShares.find(service);
+    if (current != mShares.end() && aUsedServices.contains(service)) {
+      LimitChange(current->second, maxMoved, wanted);
+    }
+    shares.emplace(service, std::move(wanted));
+  }
+  mShares = std::move(shares);
+}
+
+void PlacementPlan::LimitChange(const PlacementShares& aCurrent,
+                                double aMaxMoved,
+                                PlacementShares& aWanted) const
+{
+  const auto ownRegion = mRegionOf.find(mZone);
+  if (ownRegion == mRegionOf.end() || aCurrent.mRegionShares.empty()) {
+    return;
+  }
+  // What was placed in evacuated zones, and in regions that have lost all their
+  // slots, goes to its new place at once.
+  RegionShares from = aCurrent.mRegionShares;
+  double kept = 0;
+  for (auto& [region, share] : from) {
+    const auto before = aCurrent.mOpenParts.find(region);
+    const auto after = aWanted.mOpenParts.find(region);
+    if (!aWanted.mRegionShares.contains(region)) {
+      share = 0;
+    } else if (before != aCurrent.mOpenParts.end() &&
+               after != aWanted.mOpenParts.end() &&
+               after->second < before->second) {
+      share *= after->second / before->second;
+    }
+    kept += share;
   }
+  for (const auto& [region, share] : aWanted.mRegionShares) {
+    from[region] += (1 - kept) * share;
+  }
+  auto& shares = aWanted.mRegionShares;
+  shares = MoveTowards(from, shares, aMaxMoved);
+  // The zone keeps its part of what is placed in the region.
+  const double part = aWanted.mRegion > 0 ? aWanted.mZone / aWanted.mRegion : 0;
+  aWanted.mRegion = shares[ownRegion->second];
+  aWanted.mZone = part * aWanted.mRegion;
 }
 
 PlacementShares PlacementPlan::Compute(const TargetTable& aTable,
@@ -72,10 +126,14 @@
                                        const ZoneDemand& aDemand) const
 {
   std::map<ZoneName, double> slots;
+  std::map<RegionName, double> openSlots;
+  std::map<RegionName, double> allSlots;
   double totalSlots = 0;
   for (const auto& it : aTable.OfService(aService)) {
+    allSlots[it->Region()] += it->Record().mSlots;
     if (!aTable.IsEvacuated(it->Record().mZone)) {
       slots[it->Record().mZone] += it->Record().mSlots;
+      openSlots[it->Region()] += it->Record().mSlots;
       totalSlots += it->Record().mSlots;
     }
   }
@@ -95,8 +153,11 @@
   const auto ownRegion = mRegionOf.find(mZone);
   double regionSlots = 0;
   double regionDemand = 0;
-  std::map<RegionName, double> weights;
+  RegionShares weights;
   PlacementShares out;
+  for (const auto& [region, all] : allSlots) {
+    out.mOpenParts[region] = all > 0 ? openSlots[region] / all : 1;
+  }
   for (const auto& [zone, region] : mRegionOf) {
     if (ownRegion != mRegionOf.end() && region == ownRegion->second) {
       regionSlots += slots[zone];
@@ -109,7 +170,9 @@
     out.mSlotWeights[zone] = slotFraction > 0
                                ? std::max(kMinSlotWeight, spare / slotFraction)
                                : kMinSlotWeight;
-    weights[region] += slots[zone] * out.mSlotWeights[zone];
+    if (slots[zone] > 0) {
+      weights[region] += slots[zone] * out.mSlotWeights[zone];
+    }
   }
   out.mRegion = LocalShare(regionSlots, totalSlots, regionDemand);
   out.mRegionSlots = regionSlots;
@@ -121,7 +184,7 @@
     out.mRegion, LocalShare(slots[mZone], totalSlots, demandFraction(mZone)));
   if (ownRegion != mRegionOf.end()) {
     out.mRegionShares =
-      RegionShares(ownRegion->second, out.mRegion, std::move(weights));
+      DistributeOverRegions(ownRegion->second, out.mRegion, std::move(weights));
   }
   return out;
 }
--- a/src/PlacementWatch.cpp
+++ b/src/PlacementWatch.cpp
@@ -1,6 +1,5 @@
 #include "PlacementWatch.h"
 
-#include <cmath>
 #include <cstdio>
 
 namespace pollenway {
@@ -36,23 +35,7 @@
                  .mMoved = moved };
 }
 
-double MovedShare(const PlacementWatch::RegionShares& aBefore,
-                  const PlacementWatch::RegionShares& aAfter)
-{
-  double sum = 0;
-  for (const auto& [region, share] : aBefore) {
-    const auto it = aAfter.find(region);
-    sum += std::abs(share - (it == aAfter.end() ? 0 : it->second));
-  }
-  for (const auto& [region, share] : aAfter) {
-    if (!aBefore.contains(region)) {
-      sum += share;
-    }
-  }
-  return sum / 2;
-}
-
-std::string Text(const PlacementWatch::RegionShares& aShares)
+std::string Text(const RegionShares& aShares)
 {
   std::string out;
   for (const auto& [region, share] : aShares) {
--- a/src/PlacementWatch.h
+++ b/src/PlacementWatch.h
@@ -3,6 +3,7 @@
 #include "Ids.h"
 #include "LogRateLimit.h"
 #include "PlacementPlan.h"
+#include "RegionShares.h"
 #include "Time.h"
 
 #include <map>
@@ -16,8 +17,6 @@
 class PlacementWatch
 {
 public:
-  using RegionShares = std::map<RegionName, double>;
-
   struct Change
   {
     /// Empty for a service that had no plan.
@@ -39,12 +38,7 @@
   LogRateLimit mLogRateLimit;
 };
 
-/// Returns the share of the requests that change their region from one
-/// distribution to the other: half of the sum of the differences.
-double MovedShare(const PlacementWatch::RegionShares& aBefore,
-                  const PlacementWatch::RegionShares& aAfter);
-
 /// Returns "akl:0.62,wlg:0.38" for the log.
-std::string Text(const PlacementWatch::RegionShares& aShares);
+std::string Text(const RegionShares& aShares);
 
 } // namespace pollenway
--- a/src/TargetRanking.cpp
+++ b/src/TargetRanking.cpp
@@ -1,5 +1,6 @@
 #include "TargetRanking.h"
 
+#include "HashOf.h"
 #include "MixHash.h"
 #include "TargetAnnouncements.h"
 
@@ -45,6 +46,14 @@
          aRequest.mAnnouncements->IsClosed(aTarget.Record(), aNow);
 }
 
+/// Returns the rank of a candidate in weighted rendezvous hashing. With
+/// exponential variates, each candidate ranks first with a probability
+/// proportional to its weight.
+double RankOf(uint64_t aHash, double aWeight)
+{
+  return -std::log(1 - HashToUnitInterval(aHash)) / aWeight;
+}
+
 } // namespace
 
 TargetRanking::TargetRanking(ZoneName aZone, RegionName aRegion)
@@ -53,14 +62,39 @@
 {
 }
 
-int TargetRanking::TierOf(const TargetState& aTarget, int aHomeDistance) const
+int TargetRanking::TierOf(const TargetState& aTarget,
+                          int aHomeDistance,
+                          const RegionName* aHomeRegion) const
 {
   const int distance = aTarget.Record().mZone == mZone ? 0
                        : aTarget.Region() == mRegion   ? 1
                                                        : 2;
+  const bool isHome = distance == aHomeDistance &&
+                      (!aHomeRegion || aTarget.Region() == *aHomeRegion);
   // Targets at the home's distance come first, then the others from the nearest
   // on.
-  return distance == aHomeDistance ? 0 : distance + 1;
+  return isHome ? 0 : distance + 1;
+}
+
+const RegionName* TargetRanking::HomeRegion(const PlacementShares& aShares,
+                                            const Request& aRequest) const
+{
+  const RegionName* out = nullptr;
+  double bestRank = std::numeric_limits<double>::max();
+  for (const auto& [region, share] : aShares.mRegionShares) {
+    if (region == mRegion || share <= 0 ||
+        !Allows(aRequest.mRouteRegions, region) ||
+        !Allows(aRequest.mWorkspaceRegions, region)) {
+      continue;
+    }
+    const uint64_t hash = MixHash(aRequest.mObject, HashOf({ region.Text() }));
+    const double rank = RankOf(hash, share);
+    if (rank < bestRank) {
+      bestRank = rank;
+      out = &region;
+    }
+  }
+  return out;
 }
 
 std::vector<TargetRanking::Candidate> TargetRanking::Rank(
@@ -74,6 +108,8 @@
   const int homeDistance = position < aShares.mZone * shareFactor     ? 0
                            : position < aShares.mRegion * shareFactor ? 1
                                                                       : 2;
+  const RegionName* homeRegion =
+    homeDistance == 2 ? HomeRegion(aShares, aRequest) : &mRegion;
   std::vector<Candidate> out;
   const auto& targets = aTable.OfService(aRequest.mService);
   out.reserve(targets.size());
@@ -92,11 +128,8 @@
       std::max(1U, record.mSlots) *
       (slotWeight == aShares.mSlotWeights.end() ? 1 : slotWeight->second);
     const uint64_t hash = MixHash(aRequest.mObject, it->NameHash());
-    // With exponential variates, each target ranks first with a probability
-    // proportional to its weight.
-    out.push_back({ TierOf(*it, homeDistance),
-                    -std::log(1 - HashToUnitInterval(hash)) / weight,
-                    it });
+    out.push_back(
+      { TierOf(*it, homeDistance, homeRegion), RankOf(hash, weight), it });
   }
   std::sort(out.begin(), out.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.mTier != aRight.mTier ? aLeft.mTier < aRight.mTier
--- a/src/TargetRanking.h
+++ b/src/TargetRanking.h
@@ -84,7 +84,14 @@
   std::vector<Candidate> Rank(const TargetTable& aTable,
                               const PlacementShares& aShares,
                               const Request& aRequest) const;
-  int TierOf(const TargetState& aTarget, int aHomeDistance) const;
+  /// `aHomeRegion` is null if each region at the home's distance may have it.
+  int TierOf(const TargetState& aTarget,
+             int aHomeDistance,
+             const RegionName* aHomeRegion) const;
+  /// Selects the other region that has the request's home, with a probability
+  /// proportional to the region's share. Returns null without shares.
+  const RegionName* HomeRegion(const PlacementShares& aShares,
+                               const Request& aRequest) const;
 
   ZoneName mZone;
   RegionName mRegion;
--- a/test/RegionFleet.h
+++ b/test/RegionFleet.h
@@ -292,7 +292,12 @@
         demand[ZoneName(kZoneNames[zone])] = mDigests[zone];
       }
     }
-    aInstance->mPlan.Update(aInstance->mTable, { { kService, demand } });
+    const bool isUsed = !aInstance->mDemand.Rates().empty();
+    aInstance->mPlan.Update(aInstance->mTable,
+                            { { kService, demand } },
+                            isUsed ? std::set{ kService }
+                                   : std::set<ServiceName>(),
+                            Clock(mNow));
     if (IsFirstOfZone(aIndex)) {
       At(mNow + mOptions.mDigestDelay,
          [this, zone = aInstance->mZone, zoneRate] {
--- a/test/correctness/PlacementPlan.cpp
+++ b/test/correctness/PlacementPlan.cpp
@@ -16,7 +16,7 @@
                          PlacementPlan::ZoneDemand aDemand)
 {
   PlacementPlan plan{ ZoneName(aZone), RegionOfZones() };
-  plan.Update(aTable, { { kService, std::move(aDemand) } });
+  plan.Update(aTable, { { kService, std::move(aDemand) } }, {}, At(0));
   return plan.SharesOf(kService);
 }
 
@@ -75,3 +75,81 @@
   CHECK(SharesOf("n1", table, {}).mRegion == 0);
   CHECK(SharesOf("s1", table, {}).mZone == 1);
 }
+
+// Guards against instances that all move much of their traffic to another
+// region in the moment at which they measure the same change.
+TEST_CASE("the regions of a service in use change at a limited rate")
+{
+  struct Row
+  {
+    const char* mCase;
+    bool mIsUsed;
+    /// Slots in the north before and after the change.
+    unsigned mBefore;
+    unsigned mAfter;
+    PlacementPlan::ZoneDemand mDemand;
+    double mMaxMoved;
+  };
+  const PlacementPlan::ZoneDemand even{ { ZoneName("n1"), 10 },
+                                        { ZoneName("s1"), 10 } };
+  const PlacementPlan::ZoneDemand skewed{ { ZoneName("n1"), 100 },
+                                          { ZoneName("s1"), 10 } };
+  const Row rows[] = {
+    { "demand rises, in use", true, 2, 2, skewed, 0.05 },
+    { "demand rises, not in use", false, 2, 2, skewed, 1 },
+    { "targets join, in use", true, 2, 8, even, 0.05 },
+    { "all targets of the region leave", true, 2, 0, even, 1 },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(std::string(row.mCase));
+    TargetTable before(RegionOfZones());
+    PutTargets(before, "a", "n1", row.mBefore);
+    PutTargets(before, "c", "s1", 6);
+    TargetTable after(RegionOfZones());
+    PutTargets(after, "a", "n1", row.mAfter);
+    PutTargets(after, "c", "s1", 6);
+    PlacementPlan plan{ ZoneName("n1"), RegionOfZones() };
+    plan.Update(before, { { kService, even } }, {}, At(0));
+    const auto old = plan.SharesOf(kService).mRegionShares;
+    const std::set<ServiceName> used =
+      row.mIsUsed ? std::set{ kService } : std::set<ServiceName>();
+    plan.Update(after, { { kService, row.mDemand } }, used, At(1));
+    const double moved = MovedShare(old, plan.SharesOf(kService).mRegionShares);
+    CHECK(moved > 0);
+    CHECK(moved <= row.mMaxMoved);
+    if (row.mMaxMoved == 1) {
+      CHECK(moved > 0.1);
+    }
+    // The new shares are reached after a while.
+    PlacementPlan unlimited{ ZoneName("n1"), RegionOfZones() };
+    unlimited.Update(after, { { kService, row.mDemand } }, {}, At(0));
+    for (int n = 2; n < 80; ++n) {
+      plan.Update(after, { { kService, row.mDemand } }, used, At(n));
+    }
+    CHECK(MovedShare(plan.SharesOf(kService).mRegionShares,
+                     unlimited.SharesOf(kService).mRegionShares) < 0.001);
+  }
+}
+
+// Guards against requests that crowd the rest of a region, of which a zone has
+// been evacuated, until the limited rate has moved them.
+TEST_CASE("what was placed in an evacuated zone moves at once")
+{
+  TargetTable table(RegionOfZones());
+  PutTargets(table, "a", "n1", 4);
+  PutTargets(table, "b", "n2", 4);
+  PutTargets(table, "c", "s1", 8);
+  const PlacementPlan::ZoneDemand demand{ { ZoneName("n1"), 10 },
+                                          { ZoneName("n2"), 10 },
+                                          { ZoneName("s1"), 20 } };
+  const std::set used{ kService };
+  PlacementPlan plan{ ZoneName("n1"), RegionOfZones() };
+  plan.Update(table, { { kService, demand } }, used, At(0));
+  REQUIRE(plan.SharesOf(kService).mRegion > 0.9);
+  table.SetEvacuatedZones({ ZoneName("n2") });
+  plan.Update(table, { { kService, demand } }, used, At(0.5));
+  CHECK(plan.SharesOf(kService).mRegion < 0.9);
+  const double half = plan.SharesOf(kService).mRegion;
+  plan.Update(table, { { kService, demand } }, used, At(1));
+  CHECK(half - plan.SharesOf(kService).mRegion < 0.05);
+}
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -77,7 +77,7 @@
     auto target = mPlatform.ReadTarget(aName, record.dump());
     REQUIRE(target);
     mTargets.Put(std::move(target.value()), SteadyNow(), Duration::zero());
-    mPlan.Update(mTargets, {});
+    mPlan.Update(mTargets, {}, {}, SteadyNow());
   }
 
   DeploymentPlatform mPlatform;
