Keep the idle time of a connection that was not used

A request that ends before it is written gives its connection back, and the pool stamped it as used now. A connection idle for seconds then served a request that must not be repeated, which uses only connections used in the last 200 ms; one that the target had dropped without notice costs the request.

Change: a connection keeps the time since which it is idle until something is written on it.

--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -45,6 +45,7 @@
                                                        Duration aTimeout)
 {
   mParser.reset();
+  mIdleSince.reset();
   mBytesSent = 0;
   mRequestDone = false;
   http::request<http::empty_body> request(std::move(aHeader));
@@ -97,6 +98,7 @@
                                                  Duration aTimeout)
 {
   mParser.reset();
+  mIdleSince.reset();
   mChunked = false;
   mIsHead = aRequest.method() == http::verb::head;
   mPendingWrite.reset();
@@ -114,6 +116,7 @@
   Duration aTimeout)
 {
   mParser.reset();
+  mIdleSince.reset();
   mChunked = false;
   mRequestDone = false;
   mIsHead = aRequest->method() == http::verb::head;
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -4,6 +4,7 @@
 #include "Result.h"
 #include "Time.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -71,6 +72,16 @@
   /// Returns true if the peer closed the idle connection or sent unexpected
   /// bytes.
   bool IsStale();
+  /// Time since which the connection has been idle; empty if something has been
+  /// written since it was taken from its pool.
+  std::optional<std::chrono::steady_clock::time_point> IdleSince() const
+  {
+    return mIdleSince;
+  }
+  void SetIdleSince(std::chrono::steady_clock::time_point aTime)
+  {
+    mIdleSince = aTime;
+  }
   void SetMethodIsHead(bool aIsHead) { mIsHead = aIsHead; }
   void Close();
 
@@ -94,6 +105,7 @@
   bool mChunked = false;
   bool mFailed = false;
   bool mRequestDone = false;
+  std::optional<std::chrono::steady_clock::time_point> mIdleSince;
   std::shared_ptr<PendingWrite> mPendingWrite;
   bool mIsHead = false;
 };
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -21,6 +21,7 @@
     auto entry = std::move(idle.back());
     idle.pop_back();
     if (entry.mIdleSince > minIdleSince && !entry.mConnection->IsStale()) {
+      entry.mConnection->SetIdleSince(entry.mIdleSince);
       co_return std::move(entry.mConnection);
     }
   }
@@ -45,6 +46,12 @@
       IdleConnections() >= mOptions.mMaxIdleInTotal) {
     return;
   }
+  // A connection on which nothing was written has not shown that it still
+  // works.
+  if (const auto since = aConnection->IdleSince()) {
+    idle.push_front({ std::move(aConnection), *since });
+    return;
+  }
   idle.push_back({ std::move(aConnection), std::chrono::steady_clock::now() });
 }
 
--- a/test/platform/HttpClientPool.cpp
+++ b/test/platform/HttpClientPool.cpp
@@ -38,3 +38,41 @@
     }
   });
 }
+
+// Guards against a request that must not be repeated on a connection that has
+// been idle for long, because another request had taken it and given it back
+// without using it.
+TEST_CASE("a connection that was not used keeps its idle time")
+{
+  struct Row
+  {
+    Duration mMaxIdleTime;
+    bool mIsNew;
+  };
+  const Row rows[] = { { 8s, false }, { 150ms, true } };
+  for (const auto& row : rows) {
+    CAPTURE(row.mIsNew);
+    asio::io_context io;
+    HttpClientPool pool(io.get_executor(), {});
+    RunCoroutine(io, [&]() -> Awaitable<void> {
+      TargetStandIn target(io.get_executor());
+      REQUIRE(target.Listen());
+      const tcp::endpoint endpoint{ asio::ip::make_address("127.0.0.1"),
+                                    target.Port() };
+      TextRequest request(http::verb::get, "/", 11);
+      const auto answer =
+        co_await pool.Exchange(endpoint, std::move(request), 1s, 4096);
+      REQUIRE(answer);
+      asio::steady_timer timer(io, 300ms);
+      co_await timer.async_wait(asio::use_awaitable);
+      auto unused = co_await pool.Acquire(endpoint, 8s, 1s);
+      REQUIRE(unused);
+      REQUIRE_FALSE(unused.value()->IsNew());
+      pool.Release(endpoint, std::move(unused.value()));
+      const auto next = co_await pool.Acquire(endpoint, row.mMaxIdleTime, 1s);
+      REQUIRE(next);
+      CHECK(next.value()->IsNew() == row.mIsNew);
+      target.Server().Abort();
+    });
+  }
+}
