Bound callers' connections, and end expired requests before a connect

- A surge could take all sockets of the process; connections to targets then fail, and sound targets count as failed.
Callers now use three quarters of the sockets at most; others wait in the queue of the listening socket, as they did while one was accepted per round.
- A request whose time is over when an attempt would begin is refused at once, without a connection to a target, and the deadline is read again at the write, since a stop may have moved it forward meanwhile.

Test: correctness.HttpServer, "waiting connections are accepted together, up to the limit".

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -61,6 +61,9 @@
 /// Bodies of at least this size are expensive to transfer between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
+/// Callers' connections may use this part of the sockets. The rest stays for
+/// targets: without a free socket, no target can be reached.
+constexpr double kCallerSocketFraction = 0.75;
 /// Idle connections to targets may use the sockets divided by this number; the
 /// remaining ones are for callers and requests in flight.
 constexpr unsigned kIdleSocketDivisor = 3;
@@ -152,6 +155,8 @@
                    uint64_t(SteadyNow().time_since_epoch().count()))
   , mRandom(HashOf({ aState.mSettings.mName.Text(), "frontend" }))
 {
+  mServer.SetMaxConnections(
+    size_t(kCallerSocketFraction * aState.mSettings.mMaxSockets));
   mAnnouncements.OnChange([this](const TargetAnnouncements::Change& aChange) {
     OnAnnouncement(aChange);
   });
@@ -559,10 +564,11 @@
   if (aConnection.HasPeerClosed()) {
     aRequest.mCallerGone = true;
   }
-  if (aRequest.mCallerGone) {
+  // The deadline may have been moved forward while a connection was awaited.
+  const TimePoint now = SteadyNow();
+  if (aRequest.mCallerGone || now >= aRequest.mDeadline) {
     return false;
   }
-  const TimePoint now = SteadyNow();
   aRequest.mWrite = { .mAge = now - aRequest.mReceivedAt,
                       .mLoopLag = mState.mLoopLag(now) };
   return true;
@@ -646,6 +652,16 @@
   aRequest->mStage = RequestStage::AtTarget;
   bool isDone = false;
   while (!isDone) {
+    if (SteadyNow() >= aRequest->mDeadline) {
+      TargetAnswer answer;
+      answer.mFailure = AttemptFailure::Timeout;
+      const auto code = DecideRetry(*aRequest, answer);
+      co_await Refuse(aConnection,
+                      *aRequest,
+                      code.value_or(ResultCode::DeadlineBeforeStart),
+                      "ended before it was sent");
+      co_return;
+    }
     if (!aRequest->mIsRelayed && mRelay.IsNeeded()) {
       isDone = co_await ForwardToPeer(aConnection, *aRequest);
     } else {
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -144,7 +144,8 @@
   /// slot may succeed.
   Duration RetryAfterNoTarget(const ForwardedRequest& aRequest);
   /// Called directly before a request is written to a target or another
-  /// instance. Returns false if its caller no longer waits for the answer.
+  /// instance. Returns false if its caller no longer waits for the answer or
+  /// its time is over.
   bool BeginWrite(HttpConnection& aConnection, ForwardedRequest& aRequest);
   /// Ends a request whose caller has disconnected.
   void EndAbandoned(const ForwardedRequest& aRequest);
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -330,7 +330,7 @@
     mBuffer.commit(n);
     mPeerClosed = ec && ec != asio::error::would_block;
   }
-  return mPeerClosed;
+  return mPeerClosed || mAborted;
 }
 
 Awaitable<void> HttpConnection::CloseAfterUnreadBody()
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -61,10 +61,10 @@
   /// request is answered. Call after the body was read, at most once per
   /// request.
   void WatchDisconnect(std::function<void()> aCallback);
-  /// Returns true if the peer has closed the connection. Looks at the socket
-  /// and reads ahead what the peer has sent beyond the current request, up to
-  /// the maximum size of a header; a close behind more bytes is not seen. Does
-  /// not wait. Call after the body was read.
+  /// Returns true if the connection has been closed by either side. Looks at
+  /// the socket and reads ahead what the peer has sent beyond the current
+  /// request, up to the maximum size of a header; a close behind more bytes is
+  /// not seen. Does not wait. Call after the body was read.
   bool HasPeerClosed();
 
   /// Closes the connection after the current request is answered.
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -51,11 +51,14 @@
   while (!mStopping) {
     ErrorCode ec;
     tcp::socket socket(mExecutor);
-    co_await mAcceptor.async_accept(socket, Into(ec));
+    const bool isFull = mConnections.size() >= mMaxConnections;
+    if (!isFull) {
+      co_await mAcceptor.async_accept(socket, Into(ec));
+    }
     if (ec == asio::error::operation_aborted) {
       co_return;
     }
-    if (ec) {
+    if (ec || isFull) {
       // Retries after a delay, for instance if no file descriptor is free.
       asio::steady_timer timer(mExecutor, kAcceptRetryDelay);
       co_await timer.async_wait(Into(ec));
@@ -81,7 +84,9 @@
 {
   ErrorCode ec;
   mAcceptor.non_blocking(true, ec);
-  for (int n = 0; !ec && n < aMaxConnections; ++n) {
+  for (int n = 0; !ec && n < aMaxConnections &&
+                  (mStopping || mConnections.size() < mMaxConnections);
+       ++n) {
     tcp::socket socket(mExecutor);
     mAcceptor.accept(socket, ec);
     if (!ec) {
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -3,6 +3,7 @@
 #include "HttpConnection.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -29,6 +30,9 @@
   /// Sets the limits of new connections, and of the next request on each open
   /// one.
   void SetLimits(HttpLimits aLimits);
+  /// Limits the open connections. Others wait in the queue of the listening
+  /// socket until one is closed.
+  void SetMaxConnections(size_t aCount) { mMaxConnections = aCount; }
   /// Continues to accept and serve connections, but closes each one after its
   /// next answer.
   void EndConnectionsAfterAnswers();
@@ -58,6 +62,7 @@
   tcp::acceptor mAcceptor;
   std::unordered_set<std::shared_ptr<HttpConnection>> mConnections;
   bool mEndingConnections = false;
+  size_t mMaxConnections = std::numeric_limits<size_t>::max();
   bool mStopping = false;
   /// True until the idle connections of a stopping server are closed.
   bool mIsClosingIdle = false;
--- a/test/correctness/HttpServer.cpp
+++ b/test/correctness/HttpServer.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
+#include <list>
+
 using namespace pollenway;
 
 namespace {
@@ -54,3 +56,45 @@
   io.run();
   CHECK(done == std::size(sizes));
 }
+
+// Guards against callers that wait in the queue of the listening socket while a
+// busy event loop accepts one of them in each round, and against a server that
+// takes the sockets which its own connections need.
+TEST_CASE("waiting connections are accepted together, up to the limit")
+{
+  struct Row
+  {
+    size_t mWaiting;
+    size_t mMaxConnections;
+    size_t mAccepted;
+  };
+  const Row rows[] = { { 20, 100, 20 }, { 20, 5, 5 }, { 1, 5, 1 } };
+  for (const auto& row : rows) {
+    CAPTURE(row.mWaiting);
+    CAPTURE(row.mMaxConnections);
+    asio::io_context io;
+    HttpServer server(io.get_executor(), {}, EchoBody);
+    server.SetMaxConnections(row.mMaxConnections);
+    REQUIRE(server.Listen("127.0.0.1", 0));
+    // Starts the accept; its completion is the next handler.
+    io.poll();
+    std::list<tcp::socket> callers;
+    for (size_t n = 0; n < row.mWaiting; ++n) {
+      callers.emplace_back(io).connect(
+        { asio::ip::make_address("127.0.0.1"), server.Port() });
+    }
+    while (server.Connections() == 0) {
+      io.poll_one();
+    }
+    CHECK(server.Connections() == row.mAccepted);
+    io.run_for(std::chrono::milliseconds(100));
+    CHECK(server.Connections() == row.mAccepted);
+    // A closed connection makes room for the next one.
+    callers.pop_front();
+    io.run_for(std::chrono::milliseconds(200));
+    const size_t left = row.mWaiting - 1;
+    CHECK(server.Connections() == std::min(left, row.mMaxConnections));
+    server.Abort();
+    io.poll();
+  }
+}
