Read answers that arrived while the process was held up

Seen: with the gateway's thread held up from 4.9 s to 5.4 s or 5.6 s after SIGTERM (grace 6 s), answers that targets had sent meanwhile were replaced by 504 BackendTimeout, also those of requests that may not be repeated.

Cause: TargetExchange compares the time with the deadline before it reads the next part of a body. When the thread was held up past the deadline, it fails although the body is in its buffer. This holds for each deadline, not only in a stop. Ruled out: the timer of the connection; the bytes that are ready are read before it expires.

Change: a deadline that passed before the read gets 50 ms in which what has arrived is read. Bodies without end take these 50 ms longer.

--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -14,6 +14,9 @@
 /// Maximum number of late answers to earlier requests that are skipped on one
 /// connection.
 constexpr int kMaxMismatchedAnswers = 3;
+/// Time for which an answer that has arrived is still read if its deadline has
+/// passed before it could be.
+constexpr Duration kLateReadTime = std::chrono::milliseconds(50);
 /// Maximum length of a field's value in a log line.
 constexpr size_t kMaxLoggedValue = 64;
 
@@ -266,14 +269,21 @@
                                                    size_t aSize,
                                                    TimePoint aDeadline)
 {
-  // A body without end could be read in short steps for ever.
+  TimePoint deadline = aDeadline;
   if (SteadyNow() >= aDeadline) {
-    co_return Error{ ResultCode::AnswerIncomplete,
-                     "the answer is not complete at the deadline",
-                     {} };
+    // The process was held up, or a body without end is read in short steps.
+    if (mLateUntil == TimePoint{}) {
+      mLateUntil = SteadyNow() + kLateReadTime;
+    }
+    deadline = mLateUntil;
+    if (SteadyNow() >= deadline) {
+      co_return Error{ ResultCode::AnswerIncomplete,
+                       "the answer is not complete at the deadline",
+                       {} };
+    }
   }
   auto n =
-    co_await mConnection->ReadSome(aData, aSize, RemainingTime(aDeadline));
+    co_await mConnection->ReadSome(aData, aSize, RemainingTime(deadline));
   co_return n;
 }
 
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -54,6 +54,8 @@
                               TimePoint aSendBy,
                               TimePoint aDeadline);
   /// Reads the next part of an answer with `mHasMore`; returns 0 at its end.
+  /// If the deadline has passed before it could read, it reads for a short time
+  /// what has arrived.
   Awaitable<Result<size_t>> ReadMore(char* aData,
                                      size_t aSize,
                                      TimePoint aDeadline);
@@ -89,6 +91,8 @@
   std::shared_ptr<TargetState> mTarget;
   tcp::endpoint mEndpoint;
   std::unique_ptr<HttpClientConnection> mConnection;
+  /// End of reading after a deadline that passed before; not set without one.
+  TimePoint mLateUntil{};
   bool mCancelled = false;
 };
 
