Read arrived answers before a stop ends the requests

Cause: when the thread was held up past the time at which a stop ends its requests, EndRequests runs in the same turn as the first read of an answer and closes the connection. What has arrived but was not read is lost.

Change: a stop that is late at this point reads for up to 50 ms first.

--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -32,6 +32,9 @@
 constexpr Duration kMaxAnswerDelay = 300ms;
 constexpr Duration kStopPollInterval = 50ms;
 constexpr Duration kFinalPollInterval = 10ms;
+/// Time for which a stopping process that was held up reads the answers that
+/// have arrived meanwhile, before it ends the requests.
+constexpr Duration kLateReadTime = 50ms;
 /// A link to a peer with a pending call is replaced after this time without an
 /// answer. Calls wait up to two seconds for a change.
 constexpr Duration kPeerSilenceTimeout = 3500ms;
@@ -848,6 +851,12 @@
     co_await PauseUntil(
       std::min(SteadyNow() + kStopPollInterval, endRequestsAt));
   }
+  if (SteadyNow() - endRequestsAt > kFinalPollInterval) {
+    const TimePoint readUntil = SteadyNow() + kLateReadTime;
+    while (SteadyNow() < readUntil && mFrontend.BusyConnections() > 0) {
+      co_await Pause(kFinalPollInterval);
+    }
+  }
   // A process that was delayed still needs a turn in which answers are written.
   const TimePoint limit =
     std::max(begin + schedule.mProcessEnds, SteadyNow() + kFinalPollInterval);
--- a/test/platform/GatewayLateRequests.cpp
+++ b/test/platform/GatewayLateRequests.cpp
@@ -53,7 +53,7 @@
     CAPTURE(ToSeconds(row.mFrom));
     CAPTURE(ToSeconds(row.mUntil));
     std::vector<LateRequest> requests;
-    for (const size_t bytes : { size_t(20) }) {
+    for (const size_t bytes : { 20, 60'000, 200'000 }) {
       for (const Duration work : { 2300ms, 15000ms }) {
         requests.push_back(
           { .mSentAt = 2800ms, .mWork = work, .mAnswerBytes = bytes });
