Refuse requests that a stopping instance can't finish

Seen here: no request that was passed on ended without an answer (684 rows with graces of 0, 1, 6 and 10 s, a second SIGTERM and a reload during the stop). But requests whose header or body was complete late, and retries, were passed on with as little as 100 ms left. Their targets stopped at the deadline, and the callers got 504, which can't be repeated on routes that are not repeatable.

Cause: only the deadline of the stop bounds an attempt; nothing compares the time left with the time that an answer takes.

With a grace of 6 s, 2.2 s are left while callers are served, so requests on open connections are still passed on until then.

Before: all 10 rows of the test for this failed (504 in place of 503). After: none; platform.GatewayLateRequests passes (2076 assertions).

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -51,6 +51,11 @@
 /// Fraction of the shared retry budget that is used. Each instance counts its
 /// own part, and changes of the number of instances are seen with a delay.
 constexpr double kUsedRetryFraction = 0.6;
+/// Time that an attempt needs, as a multiple of its route's latency target, so
+/// that an answer is likely, and its maximum. While a stopping instance serves
+/// callers, 2.2 s are left with a grace of 6 s.
+constexpr int kAttemptLatencyTargets = 2;
+constexpr Duration kMaxAttemptTime = 2s;
 /// Request bodies may use the memory divided by this number. Bodies are held
 /// twice while they are sent; an eighth of the memory leaves room for
 /// connections and answers.
@@ -118,6 +123,15 @@
            : kMaxIdleUnrepeatable;
 }
 
+/// Returns true if this process ends before a target is likely to answer.
+bool EndsTooSoon(const ForwardedRequest& aRequest)
+{
+  const Duration needed = std::min<Duration>(
+    kMaxAttemptTime, aRequest.mRule->mLatencyTarget * kAttemptLatencyTargets);
+  return aRequest.mDeadline < aRequest.mAnswerDeadline &&
+         aRequest.mDeadline - SteadyNow() < needed;
+}
+
 /// Returns true for a status from which a caller may conclude that its request
 /// did not run.
 bool ImpliesNotRun(unsigned aStatus)
@@ -619,6 +633,14 @@
   aRequest->mStage = RequestStage::AtTarget;
   bool isDone = false;
   while (!isDone) {
+    if (EndsTooSoon(*aRequest)) {
+      co_await Refuse(aConnection,
+                      *aRequest,
+                      aRequest->mMayHaveRun ? ResultCode::BackendConnectionLost
+                                            : ResultCode::Stopping,
+                      "the instance stops before a target is likely to answer");
+      co_return;
+    }
     if (!aRequest->mIsRelayed && mRelay.IsNeeded()) {
       isDone = co_await ForwardToPeer(aConnection, *aRequest);
     } else {
