Count announcements in relayed answers at both instances

A target's Server-Leaving in an answer that came through another instance was read by that instance only. The first instance also passed the answer on, and is bound by it; when its own path was back, it sent requests to that target.

Cause: the first instance does not know which target has answered. Ruled out: reading the field as it stands, since it names no target.

Change: a relayed answer names the target that leaves and the start time of its incarnation, as the other instance remembers them. The first instance notes it before it passes the answer on. The fields are removed before the caller. A quiet time needs nothing: it binds the instance that was answered, which is the other one. An instance of the old code ignores the fields.

Test: platform.RequestRelay, "an announcement in a relayed answer counts at both instances".

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -741,6 +741,9 @@
   mLog.OnRelayed(aRequest, *peer, answer, SteadyNow() - sentAt, SteadyNow());
   if (!answer.mFailure) {
     aRequest.mAttempts += std::max(1u, attempts);
+    if (const auto leaving = RequestRelay::ReadLeaving(answer.mHeader)) {
+      mAnnouncements.OnLeaving(*leaving);
+    }
     co_await Deliver(aConnection, aRequest, exchange, std::move(answer));
     co_return true;
   }
@@ -815,6 +818,10 @@
     aAnswer.mHeader.set(header::kRelayResult, "answer");
     aAnswer.mHeader.set(header::kRelayAttempts,
                         std::to_string(aRequest.mAttempts));
+    const auto& target = aRequest.mTried.back();
+    if (const auto startedAt = mAnnouncements.LeavingStart(target)) {
+      RequestRelay::WriteLeaving(aAnswer.mHeader, target, *startedAt);
+    }
   }
   aAnswer.mHeader.version(11);
   if (!aAnswer.mHasMore) {
--- a/src/HeaderNames.h
+++ b/src/HeaderNames.h
@@ -18,6 +18,9 @@
 /// attempts that were made.
 constexpr char kRelayAttempts[] = "Pollenway-Relay-Attempts";
 constexpr char kRelayTarget[] = "Pollenway-Relay-Target";
+/// In an answer: the start time of the target's incarnation that has announced
+/// that it leaves, in Unix milliseconds; 0 if unknown.
+constexpr char kRelayLeavingStartMs[] = "Pollenway-Relay-Leaving-Start-Ms";
 constexpr char kRelayHops[] = "Pollenway-Relay-Hops";
 constexpr char kRelayExecution[] = "Pollenway-Relay-Execution";
 constexpr char kRelayWeight[] = "Pollenway-Relay-Weight";
--- a/src/RequestRelay.cpp
+++ b/src/RequestRelay.cpp
@@ -3,6 +3,7 @@
 #include "ForwardedRequest.h"
 #include "HeaderNames.h"
 #include "HttpHeaders.h"
+#include "RegisteredTarget.h"
 #include "RequestObserver.h"
 #include "SteadyTime.h"
 
@@ -187,6 +188,27 @@
   return attempts;
 }
 
+void RequestRelay::WriteLeaving(ResponseHeader& aHeader,
+                                const TargetName& aTarget,
+                                int64_t aStartedAtMs)
+{
+  aHeader.set(header::kRelayTarget, aTarget.Text());
+  aHeader.set(header::kRelayLeavingStartMs, std::to_string(aStartedAtMs));
+}
+
+std::optional<RegisteredTarget> RequestRelay::ReadLeaving(
+  const ResponseHeader& aHeader)
+{
+  if (aHeader.count(header::kRelayLeavingStartMs) == 0) {
+    return std::nullopt;
+  }
+  RegisteredTarget out;
+  out.mName = TargetName(FieldText(aHeader, header::kRelayTarget));
+  out.mStartedAtMs =
+    int64_t(NumberField(aHeader, header::kRelayLeavingStartMs, 0));
+  return out;
+}
+
 void RequestRelay::OnResult(const IpEndpoint& aPeer,
                             const TargetAnswer& aAnswer,
                             TimePoint aNow)
--- a/src/RequestRelay.h
+++ b/src/RequestRelay.h
@@ -18,6 +18,7 @@
 namespace pollenway {
 
 struct ForwardedRequest;
+struct RegisteredTarget;
 
 /// Sends callers' requests through other instances while this one can't reach
 /// the targets itself. A request takes one such hop at most.
@@ -82,6 +83,15 @@
   /// Replaces a refusal by the other instance with the failure that it means
   /// for the request. Returns the number of attempts at targets.
   static unsigned ReadRefusal(TargetAnswer& aAnswer);
+  /// Names in an answer for another instance the target that leaves, by the
+  /// start time of its incarnation.
+  static void WriteLeaving(ResponseHeader& aHeader,
+                           const TargetName& aTarget,
+                           int64_t aStartedAtMs);
+  /// Returns the target that leaves according to the other instance's answer,
+  /// with name and start time only.
+  static std::optional<RegisteredTarget> ReadLeaving(
+    const ResponseHeader& aHeader);
   /// Called when an attempt has ended. An instance that did not serve it is
   /// used less for a short time.
   void OnResult(const IpEndpoint& aPeer,
--- a/src/TargetAnnouncements.cpp
+++ b/src/TargetAnnouncements.cpp
@@ -118,6 +118,16 @@
   return std::nullopt;
 }
 
+std::optional<int64_t> TargetAnnouncements::LeavingStart(
+  const TargetName& aTarget) const
+{
+  const auto it = mEntries.find(aTarget);
+  if (it == mEntries.end() || !it->second.mLeaving) {
+    return std::nullopt;
+  }
+  return it->second.mLeaving->mStartedAtMs;
+}
+
 std::optional<TimePoint> TargetAnnouncements::QuietUntil(
   const RegisteredTarget& aTarget,
   TimePoint aNow) const
--- a/src/TargetAnnouncements.h
+++ b/src/TargetAnnouncements.h
@@ -100,6 +100,9 @@
   {
     return !mEntries.empty() && Find(aTarget, aNow);
   }
+  /// Returns the start time of the incarnation that has announced that it
+  /// leaves, 0 if it is unknown; empty if there was no such announcement.
+  std::optional<int64_t> LeavingStart(const TargetName& aTarget) const;
   /// Returns the end of the target's quiet time; empty if the target is open or
   /// leaving.
   std::optional<TimePoint> QuietUntil(const RegisteredTarget& aTarget,
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -67,12 +67,20 @@
     mFrontend.SetTable(table);
   }
 
-  void AddTarget(const std::string& aName, uint16_t aPort)
+  /// Adds a target, or replaces its record. The start time is unknown if it is
+  /// 0.
+  void AddTarget(const std::string& aName,
+                 uint16_t aPort,
+                 int64_t aStartedAtMs = 0)
   {
     const nlohmann::json record = {
-      { "service", "s" },   { "address", "127.0.0.1:" + std::to_string(aPort) },
-      { "zone", "z" },      { "slots", 4 },
-      { "state", "ready" }, { "sequence", 1 }
+      { "service", "s" },
+      { "address", "127.0.0.1:" + std::to_string(aPort) },
+      { "zone", "z" },
+      { "slots", 4 },
+      { "state", "ready" },
+      { "sequence", 1 },
+      { "born", aStartedAtMs },
     };
     auto target = mPlatform.ReadTarget(aName, record.dump());
     REQUIRE(target);
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -489,3 +489,54 @@
     });
   }
 }
+
+// Guards against an instance whose path is back and that sends requests to a
+// target although it has passed on an answer in which the target announced that
+// it leaves, only because the answer came through another instance.
+TEST_CASE("an announcement in a relayed answer counts at both instances")
+{
+  struct Row
+  {
+    const char* mName;
+    int64_t mStartedAtMs;
+    /// Start time of the target's record at the first instance afterwards.
+    int64_t mLaterStartedAtMs;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "the same incarnation", 5000, 5000, 503 },
+                       { "no start time", 0, 0, 503 },
+                       { "a later incarnation", 5000, 6000, 200 } };
+  for (const auto& it : rows) {
+    for (const size_t bodyBytes : { 10, 300'000 }) {
+      CAPTURE(std::string(it.mName));
+      CAPTURE(bodyBytes);
+      RelayFixture fixture;
+      fixture.mTarget.mBehaviour =
+        [&](HttpConnection& aConnection,
+            const TargetStandIn::ReceivedRequest& aRequest) -> Awaitable<bool> {
+        auto answer = TargetStandIn::Answer(aRequest, http::status::ok);
+        answer.set("Server-Leaving", "1");
+        answer.body() = std::string(bodyBytes, 'b');
+        co_await aConnection.Write(std::move(answer));
+        co_return true;
+      };
+      auto& first = fixture.mFirst;
+      auto& peer = *fixture.mPeers[0];
+      for (auto* instance : { &first, &peer }) {
+        instance->AddTarget("i-0", fixture.mTarget.Port(), it.mStartedAtMs);
+      }
+      fixture.Run([&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request("/once/1"));
+        CHECK(answer.result_int() == 200);
+        CHECK(answer["Server-Leaving"] == "1");
+        CHECK_FALSE(HasInternalField(answer));
+        CHECK(peer.mFrontend.Announcements().Size() == 1);
+        first.AddTarget("i-0", fixture.mTarget.Port(), it.mLaterStartedAtMs);
+        first.mUsesDirectPath = true;
+        answer = co_await fixture.Exchange(fixture.Request("/once/2"));
+        CHECK(answer.result_int() == it.mStatus);
+        CHECK(fixture.mTarget.mReceived.size() == (it.mStatus == 200 ? 2 : 1));
+      });
+    }
+  }
+}
