Remove a target at once in the tests of relaying

Cause: the tests removed a target with two calls of SteadyNow(), so that the time until which it is kept was later than the time of the call where the arguments are evaluated from left to right. The target stayed in the table, and the tests passed only if the choice fell on the other one.

Change: RelayInstance::RemoveTarget with one time. The checks are the same, and stricter in that the removed target can't serve any more.

--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -88,6 +88,13 @@
     mPlan.Update(mTargets, {});
   }
 
+  void RemoveTarget(const std::string& aName)
+  {
+    const TimePoint now = SteadyNow();
+    mTargets.Remove(TargetName(aName), now, now);
+    mPlan.Update(mTargets, {});
+  }
+
   DeploymentPlatform mPlatform;
   GatewaySettings mSettings;
   TargetTable mTargets;
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -354,8 +354,7 @@
 {
   RelayFixture fixture;
   RawTarget slow(fixture.mIo.get_executor(), HoldRequest);
-  fixture.mPeers[0]->mTargets.Remove(
-    TargetName("i-0"), SteadyNow(), SteadyNow());
+  fixture.mPeers[0]->RemoveTarget("i-0");
   fixture.mPeers[0]->AddTarget("i-1", slow.Port());
   fixture.Run([&]() -> Awaitable<void> {
     HttpClientConnection client(fixture.mIo.get_executor());
@@ -433,7 +432,7 @@
     RelayFixture fixture;
     RawTarget slow(fixture.mIo.get_executor(), HoldRequest);
     auto& peer = *fixture.mPeers[0];
-    peer.mTargets.Remove(TargetName("i-0"), SteadyNow(), SteadyNow());
+    peer.RemoveTarget("i-0");
     peer.AddTarget("i-1", slow.Port());
     auto& stopped = it.mFirstStops ? fixture.mFirst.mFrontend : peer.mFrontend;
     fixture.Run([&]() -> Awaitable<void> {
@@ -470,7 +469,7 @@
     CAPTURE(it.mPath);
     RelayFixture fixture;
     RawTarget silent(fixture.mIo.get_executor(), HoldRequest);
-    fixture.mFirst.mTargets.Remove(TargetName("i-0"), SteadyNow(), SteadyNow());
+    fixture.mFirst.RemoveTarget("i-0");
     fixture.mFirst.AddTarget("i-1", silent.Port());
     fixture.mFirst.mUsesDirectPath = true;
     fixture.Run([&]() -> Awaitable<void> {
