Hand relayed requests back when the own path is lost

An instance that had taken requests from one without a path, and then lost its own path, kept them: they went on trying targets, or waited for an answer on a dead connection, and ended with 503 or 504 although others could serve them.

Cause: the loss of the path only moved requests of the instance's own callers. A relayed request takes one hop at most, so it can't move on from there; the first instance can choose another one, but heard of it at the end only.

Change: after an attempt that failed, an instance without a path refuses a relayed request: as not run if nothing was sent, as lost otherwise. Repeatable relayed requests that wait on such a path are cancelled as own ones are. What the first instance does with a refusal is as before: another instance for "not run", a retry within the route's attempts for a repeatable one, 502 or 504 for one that may have run.

Test: platform.RequestRelay, "an instance that loses its path hands relayed requests back".

Seen in a test only.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -325,9 +325,8 @@
   for (const auto& it : mActive) {
     const bool isRepeatable =
       it->mRule && it->mRule->mExecution == RouteExecution::Idempotent;
-    if (isRepeatable && !it->mIsRelayed && it->mExchange &&
-        it->mExchange->IsDirect() && it->mStage == RequestStage::AtTarget &&
-        it->mSentAt < aSentBefore) {
+    if (isRepeatable && it->mExchange && it->mExchange->IsDirect() &&
+        it->mStage == RequestStage::AtTarget && it->mSentAt < aSentBefore) {
       it->mPathLost = true;
       it->mExchange->Cancel();
     }
@@ -624,6 +623,15 @@
     } else {
       isDone = co_await ForwardToTarget(aConnection, *aRequest);
     }
+    if (!isDone && aRequest->mIsRelayed && mRelay.IsNeeded()) {
+      // The first instance can choose another one that reaches the targets.
+      co_await Refuse(aConnection,
+                      *aRequest,
+                      aRequest->mMayHaveRun ? ResultCode::BackendConnectionLost
+                                            : ResultCode::PeerUnavailable,
+                      "this instance no longer reaches the targets");
+      isDone = true;
+    }
   }
 }
 
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -86,12 +86,14 @@
     REQUIRE(target);
     mTargets.Put(std::move(target.value()), SteadyNow(), Duration::zero());
     mPlan.Update(mTargets, {});
+    mReachability.Put(TargetName(aName), ServiceName("s"), mSettings.mZone);
   }
 
   void RemoveTarget(const std::string& aName)
   {
     const TimePoint now = SteadyNow();
     mTargets.Remove(TargetName(aName), now, now);
+    mReachability.Remove(TargetName(aName));
     mPlan.Update(mTargets, {});
   }
 
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include "RelayFixture.h"
 
+#include "BusyPort.h"
 #include "Spawn.h"
 
 #include <algorithm>
@@ -539,3 +540,55 @@
     }
   }
 }
+
+// Guards against relayed requests that end without an answer at an instance
+// that has lost its own path since it took them, although others could still
+// serve them, and against ones that may not be repeated and run twice.
+TEST_CASE("an instance that loses its path hands relayed requests back")
+{
+  struct Row
+  {
+    const char* mName;
+    const char* mPath;
+    bool mIsSent;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "waits for a connection", "/once/1", false, 200 },
+                       { "waits for a connection", "/safe/1", false, 200 },
+                       { "waits for an answer", "/safe/1", true, 200 },
+                       { "waits for an answer", "/once/1", true, 504 } };
+  for (const auto& it : rows) {
+    CAPTURE(std::string(it.mName));
+    CAPTURE(std::string(it.mPath));
+    RelayFixture fixture;
+    fixture.UsePeers({ 3, 4 });
+    auto& peer = *fixture.mPeers[0];
+    RawTarget silent(fixture.mIo.get_executor(), HoldRequest);
+    std::vector<std::unique_ptr<BusyPort>> busy;
+    peer.RemoveTarget("i-0");
+    if (it.mIsSent) {
+      peer.AddTarget("i-1", silent.Port());
+    } else {
+      for (int n = 1; n <= 4; ++n) {
+        busy.push_back(std::make_unique<BusyPort>(fixture.mIo));
+        peer.AddTarget("i-" + std::to_string(n), busy.back()->Number());
+      }
+    }
+    fixture.Run([&]() -> Awaitable<void> {
+      unsigned status = 0;
+      const auto send = [&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request(it.mPath));
+        status = answer.result_int();
+      };
+      Spawn(fixture.mIo, send());
+      co_await fixture.Until(
+        [&] { return peer.mFrontend.CountActiveRequests() == 1; });
+      co_await fixture.Pause(50ms);
+      peer.mUsesDirectPath = false;
+      peer.mFrontend.LeaveDirectPath(SteadyNow());
+      co_await fixture.Until([&] { return status != 0; });
+      CHECK(status == it.mStatus);
+      CHECK(fixture.mTarget.mReceived.size() == (status == 200 ? 1 : 0));
+    });
+  }
+}
