Try a peer when no target is left and the path is in doubt

While an instance did not know yet whether its path to the targets was lost, or when it was only just back, a request for which all targets were paused or tried was refused with 503, although another instance could have served it.

Cause: a request went through another instance only once the loss of the path was certain; before that, a choice without a target ended the request.

Change: in doubt, during an isolation and in the ramp after it, such a request goes through one other instance; if that one refuses it as not run, it is refused as before. One hop at most, because targets that are gone for all instances also put the paths in doubt. The additional choice is made only in doubt. Otherwise nothing changes: a request whose targets all shed it, or all ask for quiet, is refused at once.

Test: platform.RequestRelay, "a request without a target goes through a peer while in doubt". Before, 8 checks failed, "CHECK( 503 == 200 )" and "0 == 3" requests at the target, on /safe/ and /once/ when the connection fails; the rows of a shedding target passed before and after.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -611,6 +611,25 @@
   }
 }
 
+bool GatewayFrontend::NeedsPeer(const ForwardedRequest& aRequest)
+{
+  if (aRequest.mIsRelayed) {
+    return false;
+  }
+  if (mRelay.IsNeeded()) {
+    return true;
+  }
+  // Targets that are gone for all instances cost one hop at most.
+  const TimePoint now = SteadyNow();
+  return mState.mReachability.MayBeCutOff(now) &&
+         aRequest.mTriedPeers.empty() &&
+         !mRanking.Pick(mState.mTargets,
+                        mState.mPlan.SharesOf(aRequest.mService),
+                        RankingRequest(aRequest),
+                        now,
+                        [](const TargetState&) { return true; });
+}
+
 Awaitable<void> GatewayFrontend::Forward(
   HttpConnection& aConnection,
   std::shared_ptr<ForwardedRequest> aRequest)
@@ -618,7 +637,7 @@
   aRequest->mStage = RequestStage::AtTarget;
   bool isDone = false;
   while (!isDone) {
-    if (!aRequest->mIsRelayed && mRelay.IsNeeded()) {
+    if (NeedsPeer(*aRequest)) {
       isDone = co_await ForwardToPeer(aConnection, *aRequest);
     } else {
       isDone = co_await ForwardToTarget(aConnection, *aRequest);
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -122,6 +122,9 @@
   Result<void> Count(ForwardedRequest& aRequest);
   Awaitable<void> Forward(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
+  /// Returns true if the next attempt must go through another instance: the
+  /// own path is lost, or it may be and no target may get the request.
+  bool NeedsPeer(const ForwardedRequest& aRequest);
   /// Makes one attempt at a target. Returns false if another attempt follows.
   Awaitable<bool> ForwardToTarget(HttpConnection& aConnection,
                                   ForwardedRequest& aRequest);
--- a/src/TargetReachability.cpp
+++ b/src/TargetReachability.cpp
@@ -135,6 +135,16 @@
          (mSilentSince && aNow - *mSilentSince >= kMaxSilence);
 }
 
+bool TargetReachability::IsReturning(TimePoint aNow) const
+{
+  return mReturnedAt && aNow - *mReturnedAt < kRampTime;
+}
+
+bool TargetReachability::MayBeCutOff(TimePoint aNow) const
+{
+  return mIsolated || IsDoubtful(aNow) || IsReturning(aNow);
+}
+
 bool TargetReachability::IsIsolated(TimePoint) const
 {
   return mIsolated;
@@ -308,7 +318,7 @@
   if (mIsolated) {
     return false;
   }
-  if (!mReturnedAt || aNow - *mReturnedAt >= kRampTime) {
+  if (!IsReturning(aNow)) {
     return true;
   }
   const double passed = ToSeconds(aNow - *mReturnedAt) / ToSeconds(kRampTime);
--- a/src/TargetReachability.h
+++ b/src/TargetReachability.h
@@ -66,6 +66,9 @@
   /// Returns true while new connections to targets fail everywhere, and until
   /// the paths have been back for some time.
   bool IsIsolated(TimePoint aNow) const;
+  /// Returns true if the paths may be lost: while that is being tested or the
+  /// instance is isolated, and for some time after.
+  bool MayBeCutOff(TimePoint aNow) const;
   /// Returns true if this request should be sent to targets directly. Never
   /// while isolated; after that for a share of requests that rises gradually.
   bool UseDirectPath(TimePoint aNow);
@@ -120,6 +123,8 @@
   static bool IsProbeInProgress(const Target& aTarget, TimePoint aNow);
   bool IsRecentFailure(const Target& aTarget, TimePoint aNow) const;
   bool IsDoubtful(TimePoint aNow) const;
+  /// Returns true while the share of direct requests rises.
+  bool IsReturning(TimePoint aNow) const;
   void Isolate(TimePoint aNow, const Spread& aFailed);
   bool ArePathsBack(TimePoint aNow) const;
   void EndIsolation(TimePoint aNow);
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -592,3 +592,44 @@
     });
   }
 }
+
+// Guards against requests that are refused because all targets seem to be gone
+// while it is not yet decided whether the own path is, and against a hop that
+// can't help.
+TEST_CASE("a request without a target goes through a peer while in doubt")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsTargetDown;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "the connection fails", true, 200 },
+                       { "the target sheds", false, 503 } };
+  for (const auto& it : rows) {
+    for (const char* path : { "/safe/1", "/once/1" }) {
+      CAPTURE(std::string(it.mName));
+      CAPTURE(std::string(path));
+      RelayFixture fixture;
+      auto& first = fixture.mFirst;
+      first.mUsesDirectPath = true;
+      TargetStandIn shedding(fixture.mIo.get_executor());
+      REQUIRE(shedding.Listen());
+      shedding.mBehaviour = ShedRequest;
+      first.RemoveTarget("i-0");
+      first.AddTarget("i-1", shedding.Port());
+      fixture.Run([&]() -> Awaitable<void> {
+        if (it.mIsTargetDown) {
+          shedding.Server().Abort();
+        }
+        for (int n = 0; n < 3; ++n) {
+          const TimePoint sentAt = SteadyNow();
+          auto answer = co_await fixture.Exchange(fixture.Request(path));
+          CHECK(answer.result_int() == it.mStatus);
+          CHECK(SteadyNow() - sentAt < kShortTime);
+        }
+        CHECK(fixture.mTarget.mReceived.size() == (it.mStatus == 200 ? 3 : 0));
+      });
+    }
+  }
+}
