Leave requests at targets whose open connections answer

When new connections to targets failed everywhere, each repeatable request that had waited for 300 ms was cancelled and sent through another instance. Where only new connections are refused and open ones live on, this ended requests that were running, ran them again elsewhere, and used up the route's attempts and the retry budget.

Cause: the decision looked at the age of the request only, not at whether its connection works. Ruled out: the beginning of the doubt as the bound, since answers between it and the cut would keep requests on dead connections.

Change: TargetReachability keeps the time of each target's last answer. On a path that hangs nobody answers, so there all are moved as before.

Test: platform.RequestRelay, "requests stay at a target that still answers on open connections".

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -326,7 +326,9 @@
     const bool isRepeatable =
       it->mRule && it->mRule->mExecution == RouteExecution::Idempotent;
     if (isRepeatable && it->mExchange && it->mExchange->IsDirect() &&
-        it->mStage == RequestStage::AtTarget && it->mSentAt < aSentBefore) {
+        it->mStage == RequestStage::AtTarget && it->mSentAt < aSentBefore &&
+        !mState.mReachability.HasAnsweredSince(it->mTried.back(),
+                                               aSentBefore)) {
       it->mPathLost = true;
       it->mExchange->Cancel();
     }
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -70,7 +70,8 @@
   /// Closes connections that have been idle for too long.
   void DropIdleConnections();
   /// Cancels the attempts of repeatable requests at targets that began before
-  /// `aSentBefore`, so that they go through another instance.
+  /// `aSentBefore`, so that they go through another instance. Those at targets
+  /// that have answered since then stay: their open connections work.
   void LeaveDirectPath(TimePoint aSentBefore);
 
   /// Connects to a target and closes the connection, to learn whether it can be
--- a/src/TargetReachability.cpp
+++ b/src/TargetReachability.cpp
@@ -145,6 +145,13 @@
   return mIsolated || IsDoubtful(aNow) || IsReturning(aNow);
 }
 
+bool TargetReachability::HasAnsweredSince(const TargetName& aName,
+                                          TimePoint aTime) const
+{
+  const auto it = mTargets.find(aName);
+  return it != mTargets.end() && it->second.mAnsweredAt >= aTime;
+}
+
 bool TargetReachability::IsIsolated(TimePoint) const
 {
   return mIsolated;
@@ -162,6 +169,7 @@
   const auto it = mTargets.find(aName);
   if (it != mTargets.end()) {
     it->second.mReachedAt = aNow;
+    it->second.mAnsweredAt = aNow;
     mSilentSince.reset();
   }
 }
--- a/src/TargetReachability.h
+++ b/src/TargetReachability.h
@@ -69,6 +69,9 @@
   /// Returns true if the paths may be lost: while that is being tested or the
   /// instance is isolated, and for some time after.
   bool MayBeCutOff(TimePoint aNow) const;
+  /// Returns true if the target has answered on an open connection at `aTime`
+  /// or later.
+  bool HasAnsweredSince(const TargetName& aName, TimePoint aTime) const;
   /// Returns true if this request should be sent to targets directly. Never
   /// while isolated; after that for a share of requests that rises gradually.
   bool UseDirectPath(TimePoint aNow);
@@ -95,6 +98,8 @@
     ZoneName mZone;
     /// Time of the last new connection or answer.
     std::optional<TimePoint> mReachedAt;
+    /// Time of the last answer.
+    std::optional<TimePoint> mAnsweredAt;
     /// Time of the last failed connection attempt, if none succeeded since.
     std::optional<TimePoint> mFailedAt;
     /// Time at which a test was proposed whose outcome is not known.
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -593,6 +593,50 @@
   }
 }
 
+// Guards against requests that are cancelled, and run again elsewhere, although
+// the open connection to their target works and only new ones are refused.
+TEST_CASE("requests stay at a target that still answers on open connections")
+{
+  for (const bool isAnswering : { true, false }) {
+    CAPTURE(isAnswering);
+    RelayFixture fixture;
+    auto& first = fixture.mFirst;
+    int slowCount = 0;
+    bool isHeld = true;
+    fixture.mTarget.mBehaviour =
+      [&](HttpConnection&,
+          const TargetStandIn::ReceivedRequest& aRequest) -> Awaitable<bool> {
+      if (aRequest.mHeader.target() == "/safe/slow" && slowCount++ == 0) {
+        co_await fixture.Until([&] { return !isHeld; });
+      }
+      co_return false;
+    };
+    first.mUsesDirectPath = true;
+    fixture.Run([&]() -> Awaitable<void> {
+      unsigned status = 0;
+      const auto send = [&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request("/safe/slow"));
+        status = answer.result_int();
+      };
+      Spawn(fixture.mIo, send());
+      co_await fixture.Until([&] { return slowCount == 1; });
+      TimePoint sentBefore = SteadyNow();
+      auto answer = co_await fixture.Exchange(fixture.Request("/safe/1"));
+      CHECK(answer.result_int() == 200);
+      if (!isAnswering) {
+        sentBefore = SteadyNow();
+      }
+      first.mUsesDirectPath = false;
+      first.mFrontend.LeaveDirectPath(sentBefore);
+      co_await fixture.Pause(100ms);
+      isHeld = false;
+      co_await fixture.Until([&] { return status != 0; });
+      CHECK(status == 200);
+      CHECK(slowCount == (isAnswering ? 1 : 2));
+    });
+  }
+}
+
 // Guards against requests that are refused because all targets seem to be gone
 // while it is not yet decided whether the own path is, and against a hop that
 // can't help.
