Test announcements beside other requests of the same target

Change: four concurrent requests hold several connections to two targets; one target announces that it leaves. The retries of these requests and 12 later ones reach the other target only.

--- a/test/platform/TargetAnnouncements.cpp
+++ b/test/platform/TargetAnnouncements.cpp
@@ -431,3 +431,53 @@
     CHECK(received.size() > receivedCount);
   });
 }
+
+// Guards against requests on connections that were opened beside the one with
+// the announcement, and against requests that were accepted before it and are
+// sent after it.
+TEST_CASE("an announcement covers other connections and waiting requests")
+{
+  constexpr int kConcurrent = 4;
+  GatewayFixture fixture(2);
+  std::optional<size_t> leaver;
+  bool isHeld = true;
+  for (size_t n = 0; n < fixture.mTargets.size(); ++n) {
+    fixture.mTargets[n]->mBehaviour =
+      [&, n](HttpConnection& aConnection,
+             const ReceivedRequest& aRequest) -> Awaitable<bool> {
+      co_await fixture.Until([&] { return !isHeld; });
+      if (leaver.value_or(n) != n) {
+        co_return false;
+      }
+      leaver = n;
+      auto answer =
+        TargetStandIn::Answer(aRequest, http::status::internal_server_error);
+      answer.set("Server-Leaving", "1");
+      co_await aConnection.Write(std::move(answer));
+      co_return true;
+    };
+  }
+  fixture.Configure();
+  fixture.Run([&]() -> Awaitable<void> {
+    co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
+    int done = 0;
+    const auto send = [&](int aNumber) -> Awaitable<void> {
+      co_await Ask(fixture, aNumber);
+      ++done;
+    };
+    for (int n = 0; n < kConcurrent; ++n) {
+      Spawn(fixture.mIo, send(n));
+    }
+    co_await fixture.Until(
+      [&] { return fixture.CountReceivedRequests() == kConcurrent; });
+    const size_t beforeCount[] = { fixture.mTargets[0]->mReceived.size(),
+                                   fixture.mTargets[1]->mReceived.size() };
+    isHeld = false;
+    co_await fixture.Until([&] { return done == kConcurrent; });
+    for (int n = 0; n < 12; ++n) {
+      const auto answer = co_await Ask(fixture, 100 + n);
+      CHECK(answer.result_int() == 200);
+    }
+    CHECK(fixture.mTargets[*leaver]->mReceived.size() == beforeCount[*leaver]);
+  });
+}
