--- a/test/soak/standins.py
+++ b/test/soak/standins.py
@@ -215,6 +215,8 @@
         self.is_leaving = False
         # Until then, requests are turned away with the time that is left.
         self.quiet_until = 0.0
+        # False to announce both with values that gateways can't read.
+        self.is_readable = True
         # List of (time, request id, incarnation, end of the quiet time; None
         # while it leaves) of the requests that arrive after an announcement.
         self.announced = []
@@ -228,10 +230,12 @@
         now = time.monotonic()
         if self.is_leaving:
             self.announced.append((now, request_id, self.incarnation, None))
-            headers.update({"Server-Leaving": "1", "X-Instance-Id": self.incarnation})
+            value = "1" if self.is_readable else "soon"
+            headers.update({"Server-Leaving": value, "X-Instance-Id": self.incarnation})
         elif now < self.quiet_until:
             self.announced.append((now, request_id, self.incarnation, self.quiet_until))
-            headers.update({"X-Not-Executed": "1", "Retry-After": f"{self.quiet_until - now:.3f}"})
+            value = f"{self.quiet_until - now:.3f}" if self.is_readable else "soon"
+            headers.update({"X-Not-Executed": "1", "Retry-After": value})
             return web.Response(status=503, headers=headers)
         arrival = Arrival()
         self.arrivals.setdefault(request_id, []).append(arrival)
