--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -347,9 +347,10 @@
   for (const auto& it : mActive) {
     const bool isRepeatable =
       it->mRule && it->mRule->mExecution == RouteExecution::Idempotent;
-    if (isRepeatable && !it->mIsRelayed && it->mExchange &&
-        it->mExchange->IsDirect() && it->mStage == RequestStage::AtTarget &&
-        it->mSentAt < aSentBefore) {
+    if (isRepeatable && it->mExchange && it->mExchange->IsDirect() &&
+        it->mStage == RequestStage::AtTarget && it->mSentAt < aSentBefore &&
+        !mState.mReachability.HasAnsweredSince(it->mTried.back(),
+                                               aSentBefore)) {
       it->mPathLost = true;
       it->mExchange->Cancel();
     }
@@ -659,6 +660,25 @@
   }
 }
 
+bool GatewayFrontend::NeedsPeer(const ForwardedRequest& aRequest)
+{
+  if (aRequest.mIsRelayed) {
+    return false;
+  }
+  if (mRelay.IsNeeded()) {
+    return true;
+  }
+  // Targets that are gone for all instances cost one hop at most.
+  const TimePoint now = SteadyNow();
+  return mState.mReachability.MayBeCutOff(now) &&
+         aRequest.mTriedPeers.empty() &&
+         !mRanking.Pick(mState.mTargets,
+                        mState.mPlan.SharesOf(aRequest.mService),
+                        RankingRequest(aRequest),
+                        now,
+                        [](const TargetState&) { return true; });
+}
+
 Awaitable<void> GatewayFrontend::Forward(
   HttpConnection& aConnection,
   std::shared_ptr<ForwardedRequest> aRequest)
@@ -684,11 +704,20 @@
                       "ended before it was sent");
       co_return;
     }
-    if (!aRequest->mIsRelayed && mRelay.IsNeeded()) {
+    if (NeedsPeer(*aRequest)) {
       isDone = co_await ForwardToPeer(aConnection, *aRequest);
     } else {
       isDone = co_await ForwardToTarget(aConnection, *aRequest);
     }
+    if (!isDone && aRequest->mIsRelayed && mRelay.IsNeeded()) {
+      // The first instance can choose another one that reaches the targets.
+      co_await Refuse(aConnection,
+                      *aRequest,
+                      aRequest->mMayHaveRun ? ResultCode::BackendConnectionLost
+                                            : ResultCode::PeerUnavailable,
+                      "this instance no longer reaches the targets");
+      isDone = true;
+    }
   }
 }
 
@@ -815,6 +844,9 @@
   mLog.OnRelayed(aRequest, *peer, answer, SteadyNow() - sentAt, SteadyNow());
   if (!answer.mFailure) {
     aRequest.mAttempts += std::max(1u, attempts);
+    if (const auto leaving = RequestRelay::ReadLeaving(answer.mHeader)) {
+      mAnnouncements.OnLeaving(*leaving);
+    }
     co_await Deliver(aConnection, aRequest, exchange, std::move(answer));
     co_return true;
   }
@@ -889,6 +921,10 @@
     aAnswer.mHeader.set(header::kRelayResult, "answer");
     aAnswer.mHeader.set(header::kRelayAttempts,
                         std::to_string(aRequest.mAttempts));
+    const auto& target = aRequest.mTried.back();
+    if (const auto startedAt = mAnnouncements.LeavingStart(target)) {
+      RequestRelay::WriteLeaving(aAnswer.mHeader, target, *startedAt);
+    }
   }
   aAnswer.mHeader.version(11);
   if (!aAnswer.mHasMore) {
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -74,7 +74,8 @@
   /// Closes connections that have been idle for too long.
   void DropIdleConnections();
   /// Cancels the attempts of repeatable requests at targets that began before
-  /// `aSentBefore`, so that they go through another instance.
+  /// `aSentBefore`, so that they go through another instance. Those at targets
+  /// that have answered since then stay: their open connections work.
   void LeaveDirectPath(TimePoint aSentBefore);
 
   /// Connects to a target and closes the connection, to learn whether it can be
@@ -126,6 +127,9 @@
   Result<void> Count(ForwardedRequest& aRequest);
   Awaitable<void> Forward(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
+  /// Returns true if the next attempt must go through another instance: the
+  /// own path is lost, or it may be and no target may get the request.
+  bool NeedsPeer(const ForwardedRequest& aRequest);
   /// Makes one attempt at a target. Returns false if another attempt follows.
   Awaitable<bool> ForwardToTarget(HttpConnection& aConnection,
                                   ForwardedRequest& aRequest);
--- a/src/TargetReachability.cpp
+++ b/src/TargetReachability.cpp
@@ -135,6 +135,23 @@
          (mSilentSince && aNow - *mSilentSince >= kMaxSilence);
 }
 
+bool TargetReachability::IsReturning(TimePoint aNow) const
+{
+  return mReturnedAt && aNow - *mReturnedAt < kRampTime;
+}
+
+bool TargetReachability::MayBeCutOff(TimePoint aNow) const
+{
+  return mIsolated || IsDoubtful(aNow) || IsReturning(aNow);
+}
+
+bool TargetReachability::HasAnsweredSince(const TargetName& aName,
+                                          TimePoint aTime) const
+{
+  const auto it = mTargets.find(aName);
+  return it != mTargets.end() && it->second.mAnsweredAt >= aTime;
+}
+
 bool TargetReachability::IsIsolated(TimePoint) const
 {
   return mIsolated;
@@ -152,6 +169,7 @@
   const auto it = mTargets.find(aName);
   if (it != mTargets.end()) {
     it->second.mReachedAt = aNow;
+    it->second.mAnsweredAt = aNow;
     mSilentSince.reset();
   }
 }
@@ -308,7 +326,7 @@
   if (mIsolated) {
     return false;
   }
-  if (!mReturnedAt || aNow - *mReturnedAt >= kRampTime) {
+  if (!IsReturning(aNow)) {
     return true;
   }
   const double passed = ToSeconds(aNow - *mReturnedAt) / ToSeconds(kRampTime);
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -67,17 +67,34 @@
     mFrontend.SetTable(table);
   }
 
-  void AddTarget(const std::string& aName, uint16_t aPort)
+  /// Adds a target, or replaces its record. The start time is unknown if it is
+  /// 0.
+  void AddTarget(const std::string& aName,
+                 uint16_t aPort,
+                 int64_t aStartedAtMs = 0)
   {
     const nlohmann::json record = {
-      { "service", "s" },   { "address", "127.0.0.1:" + std::to_string(aPort) },
-      { "zone", "z" },      { "slots", 4 },
-      { "state", "ready" }, { "sequence", 1 }
+      { "service", "s" },
+      { "address", "127.0.0.1:" + std::to_string(aPort) },
+      { "zone", "z" },
+      { "slots", 4 },
+      { "state", "ready" },
+      { "sequence", 1 },
+      { "born", aStartedAtMs },
     };
     auto target = mPlatform.ReadTarget(aName, record.dump());
     REQUIRE(target);
     mTargets.Put(std::move(target.value()), SteadyNow(), Duration::zero());
     mPlan.Update(mTargets, {}, {}, SteadyNow());
+    mReachability.Put(TargetName(aName), ServiceName("s"), mSettings.mZone);
+  }
+
+  void RemoveTarget(const std::string& aName)
+  {
+    const TimePoint now = SteadyNow();
+    mTargets.Remove(TargetName(aName), now, now);
+    mReachability.Remove(TargetName(aName));
+    mPlan.Update(mTargets, {}, {}, SteadyNow());
   }
 
   DeploymentPlatform mPlatform;
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -1,5 +1,6 @@
 #include "RelayFixture.h"
 
+#include "BusyPort.h"
 #include "Spawn.h"
 
 #include <algorithm>
@@ -354,8 +355,7 @@
 {
   RelayFixture fixture;
   RawTarget slow(fixture.mIo.get_executor(), HoldRequest);
-  fixture.mPeers[0]->mTargets.Remove(
-    TargetName("i-0"), SteadyNow(), SteadyNow());
+  fixture.mPeers[0]->RemoveTarget("i-0");
   fixture.mPeers[0]->AddTarget("i-1", slow.Port());
   fixture.Run([&]() -> Awaitable<void> {
     HttpClientConnection client(fixture.mIo.get_executor());
@@ -433,7 +433,7 @@
     RelayFixture fixture;
     RawTarget slow(fixture.mIo.get_executor(), HoldRequest);
     auto& peer = *fixture.mPeers[0];
-    peer.mTargets.Remove(TargetName("i-0"), SteadyNow(), SteadyNow());
+    peer.RemoveTarget("i-0");
     peer.AddTarget("i-1", slow.Port());
     auto& stopped = it.mFirstStops ? fixture.mFirst.mFrontend : peer.mFrontend;
     fixture.Run([&]() -> Awaitable<void> {
@@ -470,7 +470,7 @@
     CAPTURE(it.mPath);
     RelayFixture fixture;
     RawTarget silent(fixture.mIo.get_executor(), HoldRequest);
-    fixture.mFirst.mTargets.Remove(TargetName("i-0"), SteadyNow(), SteadyNow());
+    fixture.mFirst.RemoveTarget("i-0");
     fixture.mFirst.AddTarget("i-1", silent.Port());
     fixture.mFirst.mUsesDirectPath = true;
     fixture.Run([&]() -> Awaitable<void> {
@@ -489,3 +489,191 @@
     });
   }
 }
+
+// Guards against an instance whose path is back and that sends requests to a
+// target although it has passed on an answer in which the target announced that
+// it leaves, only because the answer came through another instance.
+TEST_CASE("an announcement in a relayed answer counts at both instances")
+{
+  struct Row
+  {
+    const char* mName;
+    int64_t mStartedAtMs;
+    /// Start time of the target's record at the first instance afterwards.
+    int64_t mLaterStartedAtMs;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "the same incarnation", 5000, 5000, 503 },
+                       { "no start time", 0, 0, 503 },
+                       { "a later incarnation", 5000, 6000, 200 } };
+  for (const auto& it : rows) {
+    for (const size_t bodyBytes : { 10, 300'000 }) {
+      CAPTURE(std::string(it.mName));
+      CAPTURE(bodyBytes);
+      RelayFixture fixture;
+      fixture.mTarget.mBehaviour =
+        [&](HttpConnection& aConnection,
+            const TargetStandIn::ReceivedRequest& aRequest) -> Awaitable<bool> {
+        auto answer = TargetStandIn::Answer(aRequest, http::status::ok);
+        answer.set("Server-Leaving", "1");
+        answer.body() = std::string(bodyBytes, 'b');
+        co_await aConnection.Write(std::move(answer));
+        co_return true;
+      };
+      auto& first = fixture.mFirst;
+      auto& peer = *fixture.mPeers[0];
+      for (auto* instance : { &first, &peer }) {
+        instance->AddTarget("i-0", fixture.mTarget.Port(), it.mStartedAtMs);
+      }
+      fixture.Run([&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request("/once/1"));
+        CHECK(answer.result_int() == 200);
+        CHECK(answer["Server-Leaving"] == "1");
+        CHECK_FALSE(HasInternalField(answer));
+        CHECK(peer.mFrontend.Announcements().Size() == 1);
+        first.AddTarget("i-0", fixture.mTarget.Port(), it.mLaterStartedAtMs);
+        first.mUsesDirectPath = true;
+        answer = co_await fixture.Exchange(fixture.Request("/once/2"));
+        CHECK(answer.result_int() == it.mStatus);
+        CHECK(fixture.mTarget.mReceived.size() == (it.mStatus == 200 ? 2 : 1));
+      });
+    }
+  }
+}
+
+// Guards against relayed requests that end without an answer at an instance
+// that has lost its own path since it took them, although others could still
+// serve them, and against ones that may not be repeated and run twice.
+TEST_CASE("an instance that loses its path hands relayed requests back")
+{
+  struct Row
+  {
+    const char* mName;
+    const char* mPath;
+    bool mIsSent;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "waits for a connection", "/once/1", false, 200 },
+                       { "waits for a connection", "/safe/1", false, 200 },
+                       { "waits for an answer", "/safe/1", true, 200 },
+                       { "waits for an answer", "/once/1", true, 504 } };
+  for (const auto& it : rows) {
+    CAPTURE(std::string(it.mName));
+    CAPTURE(std::string(it.mPath));
+    RelayFixture fixture;
+    fixture.UsePeers({ 3, 4 });
+    auto& peer = *fixture.mPeers[0];
+    RawTarget silent(fixture.mIo.get_executor(), HoldRequest);
+    std::vector<std::unique_ptr<BusyPort>> busy;
+    peer.RemoveTarget("i-0");
+    if (it.mIsSent) {
+      peer.AddTarget("i-1", silent.Port());
+    } else {
+      for (int n = 1; n <= 4; ++n) {
+        busy.push_back(std::make_unique<BusyPort>(fixture.mIo));
+        peer.AddTarget("i-" + std::to_string(n), busy.back()->Number());
+      }
+    }
+    fixture.Run([&]() -> Awaitable<void> {
+      unsigned status = 0;
+      const auto send = [&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request(it.mPath));
+        status = answer.result_int();
+      };
+      Spawn(fixture.mIo, send());
+      co_await fixture.Until(
+        [&] { return peer.mFrontend.CountActiveRequests() == 1; });
+      co_await fixture.Pause(50ms);
+      peer.mUsesDirectPath = false;
+      peer.mFrontend.LeaveDirectPath(SteadyNow());
+      co_await fixture.Until([&] { return status != 0; });
+      CHECK(status == it.mStatus);
+      CHECK(fixture.mTarget.mReceived.size() == (status == 200 ? 1 : 0));
+    });
+  }
+}
+
+// Guards against requests that are cancelled, and run again elsewhere, although
+// the open connection to their target works and only new ones are refused.
+TEST_CASE("requests stay at a target that still answers on open connections")
+{
+  for (const bool isAnswering : { true, false }) {
+    CAPTURE(isAnswering);
+    RelayFixture fixture;
+    auto& first = fixture.mFirst;
+    int slowCount = 0;
+    bool isHeld = true;
+    fixture.mTarget.mBehaviour =
+      [&](HttpConnection&,
+          const TargetStandIn::ReceivedRequest& aRequest) -> Awaitable<bool> {
+      if (aRequest.mHeader.target() == "/safe/slow" && slowCount++ == 0) {
+        co_await fixture.Until([&] { return !isHeld; });
+      }
+      co_return false;
+    };
+    first.mUsesDirectPath = true;
+    fixture.Run([&]() -> Awaitable<void> {
+      unsigned status = 0;
+      const auto send = [&]() -> Awaitable<void> {
+        auto answer = co_await fixture.Exchange(fixture.Request("/safe/slow"));
+        status = answer.result_int();
+      };
+      Spawn(fixture.mIo, send());
+      co_await fixture.Until([&] { return slowCount == 1; });
+      TimePoint sentBefore = SteadyNow();
+      auto answer = co_await fixture.Exchange(fixture.Request("/safe/1"));
+      CHECK(answer.result_int() == 200);
+      if (!isAnswering) {
+        sentBefore = SteadyNow();
+      }
+      first.mUsesDirectPath = false;
+      first.mFrontend.LeaveDirectPath(sentBefore);
+      co_await fixture.Pause(100ms);
+      isHeld = false;
+      co_await fixture.Until([&] { return status != 0; });
+      CHECK(status == 200);
+      CHECK(slowCount == (isAnswering ? 1 : 2));
+    });
+  }
+}
+
+// Guards against requests that are refused because all targets seem to be gone
+// while it is not yet decided whether the own path is, and against a hop that
+// can't help.
+TEST_CASE("a request without a target goes through a peer while in doubt")
+{
+  struct Row
+  {
+    const char* mName;
+    bool mIsTargetDown;
+    unsigned mStatus;
+  };
+  const Row rows[] = { { "the connection fails", true, 200 },
+                       { "the target sheds", false, 503 } };
+  for (const auto& it : rows) {
+    for (const char* path : { "/safe/1", "/once/1" }) {
+      CAPTURE(std::string(it.mName));
+      CAPTURE(std::string(path));
+      RelayFixture fixture;
+      auto& first = fixture.mFirst;
+      first.mUsesDirectPath = true;
+      TargetStandIn shedding(fixture.mIo.get_executor());
+      REQUIRE(shedding.Listen());
+      shedding.mBehaviour = ShedRequest;
+      first.RemoveTarget("i-0");
+      first.AddTarget("i-1", shedding.Port());
+      fixture.Run([&]() -> Awaitable<void> {
+        if (it.mIsTargetDown) {
+          shedding.Server().Abort();
+        }
+        for (int n = 0; n < 3; ++n) {
+          const TimePoint sentAt = SteadyNow();
+          auto answer = co_await fixture.Exchange(fixture.Request(path));
+          CHECK(answer.result_int() == it.mStatus);
+          CHECK(SteadyNow() - sentAt < kShortTime);
+        }
+        CHECK(fixture.mTarget.mReceived.size() == (it.mStatus == 200 ? 3 : 0));
+      });
+    }
+  }
+}
