Count only the request's connections in platform.TargetFaults

Cause: the test, not the request's connection. After an attempt has failed, the gateway opens a connection without a request to learn whether the target can be reached, and closes it. Measured after the caller's answer: the connection of the request was closed before it (0 open), and such a probe came at 102.3, 102.5 and 120.8 ms (once at 7.2 ms) and was open for about 0.1 ms. The check at 100 ms counts it if the two coincide.

Change: the check at 100 ms counts the connections on which a request has arrived, as strictly as before.

--- a/test/platform/RawTarget.h
+++ b/test/platform/RawTarget.h
@@ -8,8 +8,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace pollenway {
@@ -57,6 +59,7 @@
         co_await mSocket.async_read_some(asio::buffer(&byte, 1), Into(ec));
         out += ec ? std::string() : std::string(1, byte);
       }
+      mHasRequest = mHasRequest || !ec;
       co_return ec ? std::string() : out;
     }
     Awaitable<void> Pause(std::chrono::milliseconds aTime)
@@ -74,6 +77,7 @@
     }
 
     tcp::socket mSocket;
+    bool mHasRequest = false;
   };
   using Script = std::function<Awaitable<void>(Connection&)>;
 
@@ -91,6 +95,16 @@
     ErrorCode ec;
     mAcceptor.close(ec);
   }
+  /// Returns the number of open connections on which a request has arrived. The
+  /// gateway also opens connections only to learn whether a target can be
+  /// reached.
+  size_t OpenWithRequest() const
+  {
+    return size_t(std::count_if(
+      mConnections.begin(), mConnections.end(), [](const auto& aEntry) {
+        return aEntry->mHasRequest;
+      }));
+  }
   size_t mOpen = 0;
   size_t mAccepted = 0;
   /// End of the last connection.
@@ -140,13 +154,16 @@
   Awaitable<void> Serve(std::shared_ptr<Connection> aConnection)
   {
     ++mOpen;
+    mConnections.insert(aConnection);
     co_await mScript(*aConnection);
+    mConnections.erase(aConnection);
     --mOpen;
     mClosedAt = SteadyNow();
   }
 
   Script mScript;
   tcp::acceptor mAcceptor;
+  std::set<std::shared_ptr<Connection>> mConnections;
 };
 
 } // namespace pollenway
--- a/test/platform/TargetFaults.cpp
+++ b/test/platform/TargetFaults.cpp
@@ -97,6 +97,10 @@
           }
           CHECK(outcome.mMemoryGrowth <= kMaxMemoryGrowth);
           co_await aFixture.Pause(100ms);
+          CHECK(aTarget.OpenWithRequest() == 0);
+          while (aTarget.mOpen > 0 && SteadyNow() - begin < kMaxAnswerTime) {
+            co_await aFixture.Pause(1ms);
+          }
           CHECK(aTarget.mOpen == 0);
           CHECK(aTarget.mClosedAt - begin <= kMaxAnswerTime);
         });
