Give back the rate of each request that is refused as not run

A request that was counted against its workspace's rate, and then refused as not run before any attempt was counted, stayed counted: callers lost part of their rate to requests that no target had seen, and got 429 for later ones.

Cause: the refund asked for an attempt, but NoTarget, Stopping and refusals of other instances end requests without one.

Change: the refund asks whether the request was counted. QUOTA counts only requests that a target runs, so nothing that ran is given back.

Test: platform.RequestRelay, "only requests that may have run count against a workspace's rate". Before, two of five rows failed, 1 == 0 admitted ("no instance to relay to", "refused"). The whole ctest (119 passed) was run before this commit.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -899,8 +899,10 @@
     answer.set(header::kRelayAttempts, std::to_string(aRequest.mAttempts));
   }
   const bool neverRan = OutcomeOf(aCode) == Outcome::NotRun;
-  if (neverRan && aRequest.mAttempts > 0 && aRequest.mWorkspace &&
-      !aRequest.mIsRelayed) {
+  // The service of an own caller's request is chosen when it is counted.
+  const bool wasCounted =
+    !aRequest.mIsRelayed && !aRequest.mService.Text().empty();
+  if (neverRan && wasCounted && aRequest.mWorkspace) {
     mState.mQuota.Refund(aRequest.mWorkspace->mName);
   }
   Duration retryAfter{};
--- a/test/platform/RequestRelay.cpp
+++ b/test/platform/RequestRelay.cpp
@@ -329,6 +329,43 @@
   });
 }
 
+// Guards against a workspace that loses part of its rate to requests that were
+// refused as not run, and against one whose requests that may have run don't
+// count.
+TEST_CASE("only requests that may have run count against a workspace's rate")
+{
+  struct Row
+  {
+    const char* mName;
+    RawTarget::Script mScript;
+    std::vector<int> mPeers;
+    unsigned mStatus;
+    int64_t mAdmitted;
+  };
+  const Row rows[] = {
+    { "no instance to relay to", {}, {}, 503, 0 },
+    { "refused", RefuseWith(ResultCode::QueueFull, 0), { 1 }, 503, 0 },
+    { "shed", RefuseWith(ResultCode::NoHeadroom, 2), { 1 }, 503, 0 },
+    { "lost", ResetAfterRequest, { 1 }, 502, 1 },
+    { "served", {}, { 3 }, 200, 1 },
+  };
+  for (const auto& it : rows) {
+    CAPTURE(std::string(it.mName));
+    RelayFixture fixture;
+    fixture.mRawScript = it.mScript;
+    fixture.UsePeers(it.mPeers);
+    fixture.Run([&]() -> Awaitable<void> {
+      auto answer = co_await fixture.Exchange(fixture.Request("/once/1"));
+      CHECK(answer.result_int() == it.mStatus);
+      int64_t admitted = 0;
+      for (const auto& use : fixture.mFirst.mQuota.ZoneUses()) {
+        admitted += use.mAdmitted;
+      }
+      CHECK(admitted == it.mAdmitted);
+    });
+  }
+}
+
 // Guards against a request that reaches more targets than its route allows
 // because each instance counts its own attempts.
 TEST_CASE("the attempts through other instances count towards the route's")
