Let the plan of a starting process follow at once

Cause: a process that has started again computes its first plan before it has heard of the other zones' demand, uses it at once, and was then held near it by the limited rate for tens of seconds.

Change: for 3 s after its first update a plan follows at once. The process has placed nothing before. When the whole deployment starts, traffic comes later.

--- a/src/PlacementPlan.cpp
+++ b/src/PlacementPlan.cpp
@@ -1,6 +1,7 @@
 #include "PlacementPlan.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace pollenway {
 
@@ -21,6 +22,10 @@
 /// another region. The operators allow 0.15 in 2 s, and requests that leave
 /// their home for its queue, and the choice of the objects, add to it.
 constexpr double kMaxMovedPerSecond = 0.015;
+/// Time after the first update in which the shares follow at once. A process
+/// that has just started has placed nothing yet, and learns the demand of the
+/// other zones from their next reports.
+constexpr Duration kSettlingTime = std::chrono::seconds(3);
 /// Maximum time between two updates that counts for the change.
 constexpr double kMaxUpdateSeconds = 1;
 
@@ -72,13 +77,16 @@
     kMaxMovedPerSecond *
     std::min(kMaxUpdateSeconds, ToSeconds(aNow - mUpdatedAt));
   mUpdatedAt = aNow;
+  mFirstUpdateAt = mFirstUpdateAt.value_or(aNow);
+  const bool isSettling = aNow - *mFirstUpdateAt < kSettlingTime;
   std::unordered_map<ServiceName, PlacementShares> shares;
   for (const auto& service : aTable.Services()) {
     const auto demand = aDemand.find(service);
     auto wanted = Compute(
       aTable, service, demand == aDemand.end() ? kNoDemand : demand->second);
     const auto current = mShares.find(service);
-    if (current != mShares.end() && aUsedServices.contains(service)) {
+    if (current != mShares.end() && !isSettling &&
+        aUsedServices.contains(service)) {
       LimitChange(current->second, maxMoved, wanted);
     }
     shares.emplace(service, std::move(wanted));
--- a/src/PlacementPlan.h
+++ b/src/PlacementPlan.h
@@ -6,6 +6,7 @@
 #include "Time.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -78,6 +79,7 @@
   std::map<ZoneName, RegionName> mRegionOf;
   std::unordered_map<ServiceName, PlacementShares> mShares;
   TimePoint mUpdatedAt{};
+  std::optional<TimePoint> mFirstUpdateAt;
 };
 
 } // namespace pollenway
