--- a/review/standins.py
+++ b/review/standins.py
@@ -6,9 +6,10 @@
 import json
 import os
 import random
+import shutil
 import signal
-import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -88,7 +89,6 @@
         self.events = []
         self.revision = 10
         self.changed = asyncio.Event()
-        # Addresses of clients whose watches are answered late or never.
         self.server = None
         self.address = None
 
@@ -401,7 +401,8 @@
         self.running += 1
         self.record.write("runs", target=self.name, id=request_id)
         await asyncio.sleep(self.work_s)
-        self.running -= 1
+        # A crash meanwhile has reset the number.
+        self.running = max(0, self.running - 1)
         self.record.write("ran", target=self.name, id=request_id)
         return answer(
             200,
@@ -460,6 +461,7 @@
             it.cancel()
         for it in self.gateways:
             it.kill()
+        shutil.rmtree(self.temporary, ignore_errors=True)
         self.record.close()
 
 
@@ -474,4 +476,5 @@
     except (OSError, AssertionError) as error:
         print("the case could not run:", error)
         code = 2
+    sys.stdout.flush()
     os._exit(code)
