Refuse answers whose status is none of HTTP

What callers saw: a target in trouble sent an answer with status 000, and the caller got it as an answer, signed and with its body. The same held for 001, 099, 600 and 999. After 101, or an interim answer other than 100 with the request's id, the caller got that status without body or end.

Cause: the parser takes any three digits for a status, and nothing after it checked the value. Only 100 was taken for interim; any other 1xx counted as the final header.

Ruled out: a status that is not three digits, or another version of HTTP. The parser refuses these.

Change: HttpClientConnection, through which all answers are read, returns bad_status for a status outside 100 to 599 and for 101, which this client never asks for. It skips all other 1xx up to the deadline. The three ways to read a header share one loop.

Why it works: the error takes the way of every other malformed head. The caller gets 502, an unrepeatable request is not sent again, a write at the store has an unknown outcome. An interim answer alone ends at the route's timeout with 504.

--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -11,6 +11,18 @@
 
 namespace pollenway {
 
+namespace {
+
+/// Returns true for a status that an answer to a request may have. Switching
+/// protocols is none: this client never asks for it.
+bool IsValidStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599 &&
+         http::status(aStatus) != http::status::switching_protocols;
+}
+
+} // namespace
+
 HttpClientConnection::HttpClientConnection(asio::any_io_executor aExecutor)
   : mStream(aExecutor)
 {
@@ -129,23 +141,9 @@
     [aRequest, write = mPendingWrite](const ErrorCode& aError, size_t) {
       write->mDone = !aError;
     });
-  // The stream's timeout started with the write and is not set again here.
-  const TimePoint until = SteadyNow() + aTimeout;
-  for (;;) {
-    ErrorCode ec;
-    mParser.emplace();
-    mParser->body_limit(std::numeric_limits<uint64_t>::max());
-    mParser->skip(mIsHead);
-    co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
-    mFailed = mFailed || bool(ec);
-    if (ec || !IsContinue()) {
-      co_return ec;
-    }
-    if (SteadyNow() >= until) {
-      mFailed = true;
-      co_return beast::error::timeout;
-    }
-  }
+  const ErrorCode ec =
+    co_await ReadHeaderUntil(SteadyNow() + aTimeout, LastHeader::Final);
+  co_return ec;
 }
 
 Awaitable<bool> HttpClientConnection::WaitReadable(Duration aTimeout)
@@ -172,7 +170,7 @@
   co_return !ec;
 }
 
-Awaitable<ErrorCode> HttpClientConnection::ReadInterimHeader(Duration aTimeout)
+Awaitable<ErrorCode> HttpClientConnection::ReadOneHeader(Duration aTimeout)
 {
   ErrorCode ec;
   mParser.emplace();
@@ -180,32 +178,51 @@
   mParser->skip(mIsHead);
   mStream.expires_after(aTimeout);
   co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
+  if (!ec && !IsValidStatus(Header().result_int())) {
+    // The parser accepts any three digits.
+    ec = http::error::bad_status;
+  }
   mFailed = mFailed || bool(ec);
   co_return ec;
 }
 
-bool HttpClientConnection::IsContinue() const
+Awaitable<ErrorCode> HttpClientConnection::ReadHeaderUntil(TimePoint aUntil,
+                                                           LastHeader aLast)
 {
-  return mParser->get().result() == http::status::continue_;
-}
-
-Awaitable<ErrorCode> HttpClientConnection::ReadHeader(Duration aTimeout)
-{
-  // Interim answers without end must not extend the time.
-  const TimePoint until = SteadyNow() + aTimeout;
   for (;;) {
-    const ErrorCode ec = co_await ReadInterimHeader(
-      std::max<Duration>(until - SteadyNow(), Duration::zero()));
-    if (ec || !IsContinue()) {
+    // Interim answers without end must not extend the time.
+    const ErrorCode ec = co_await ReadOneHeader(
+      std::max<Duration>(aUntil - SteadyNow(), Duration::zero()));
+    const bool isInterim = !ec && Header().result_int() / 100 == 1;
+    if (!isInterim || (aLast == LastHeader::Continue && IsContinue())) {
       co_return ec;
     }
-    if (SteadyNow() >= until) {
+    if (SteadyNow() >= aUntil) {
       mFailed = true;
       co_return beast::error::timeout;
     }
   }
 }
 
+Awaitable<ErrorCode> HttpClientConnection::ReadInterimHeader(Duration aTimeout)
+{
+  const ErrorCode ec =
+    co_await ReadHeaderUntil(SteadyNow() + aTimeout, LastHeader::Continue);
+  co_return ec;
+}
+
+Awaitable<ErrorCode> HttpClientConnection::ReadHeader(Duration aTimeout)
+{
+  const ErrorCode ec =
+    co_await ReadHeaderUntil(SteadyNow() + aTimeout, LastHeader::Final);
+  co_return ec;
+}
+
+bool HttpClientConnection::IsContinue() const
+{
+  return mParser->get().result() == http::status::continue_;
+}
+
 const ResponseHeader& HttpClientConnection::Header() const
 {
   return mParser->get().base();
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -52,10 +52,12 @@
   /// Waits until the peer sends something, at most `aTimeout`. Unlike with the
   /// other calls, the connection stays usable after the time-out.
   Awaitable<bool> WaitReadable(Duration aTimeout);
-  /// Reads one header, which may be "100 Continue".
+  /// Reads the answer's header, or "100 Continue" if that comes first. Skips
+  /// other interim answers.
   Awaitable<ErrorCode> ReadInterimHeader(Duration aTimeout);
   bool IsContinue() const;
-  /// Reads the answer's header and skips "100 Continue".
+  /// Reads the answer's header and skips interim answers. Errors: bad_status if
+  /// the status is no valid one of HTTP, or switches to another protocol.
   Awaitable<ErrorCode> ReadHeader(Duration aTimeout);
   const ResponseHeader& Header() const;
   std::optional<uint64_t> BodyLength() const;
@@ -95,6 +97,16 @@
     bool mDone = false;
   };
 
+  /// The header at which reading ends.
+  enum class LastHeader
+  {
+    Final,
+    Continue,
+  };
+
+  Awaitable<ErrorCode> ReadOneHeader(Duration aTimeout);
+  Awaitable<ErrorCode> ReadHeaderUntil(TimePoint aUntil, LastHeader aLast);
+
   beast::tcp_stream mStream;
   /// Bounded, because a peer could send a chunk extension or a trailer without
   /// end.
--- a/test/platform/PlatformStore.cpp
+++ b/test/platform/PlatformStore.cpp
@@ -96,6 +96,31 @@
   });
 }
 
+// Guards against a write that is reported as not done because its answer has a
+// status that HTTP doesn't know: the store may have executed it.
+TEST_CASE("an answer without a valid status says nothing about a call")
+{
+  for (const unsigned status : { 0U, 1U, 99U, 101U, 600U, 999U }) {
+    CAPTURE(status);
+    Fixture fixture;
+    RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+      auto& store = *fixture.mStore;
+      fixture.mServer.mFaults.mStatus = status;
+      const auto put = co_await store.Put("own", "n", "{}", {});
+      CHECK(put.mOutcome == WriteOutcome::Unknown);
+      const auto removed = co_await store.Delete("own", "n", {});
+      CHECK(removed.mOutcome == WriteOutcome::Unknown);
+      const auto listing = co_await store.List("own", ReadFreshness::Current);
+      REQUIRE(!listing);
+      CHECK(listing.error().mCode == ResultCode::StoreUnavailable);
+      const auto changes = co_await store.Watch("own", { {}, 1 }, 50ms);
+      REQUIRE(!changes);
+      CHECK(changes.error().mCode == ResultCode::StoreUnavailable);
+      fixture.mServer.Stop();
+    });
+  }
+}
+
 // Guards against treating a write whose answer was lost as one without effect,
 // and against two writers that overwrite each other.
 TEST_CASE("conditional writes report conflicts, lost answers are unknown")
--- a/test/platform/StoreStandIn.h
+++ b/test/platform/StoreStandIn.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,9 +24,8 @@
 public:
   struct Faults
   {
-    /// Status with which each call is answered instead of being executed; 0 for
-    /// none.
-    unsigned mStatus = 0;
+    /// Status with which each call is answered instead of being executed.
+    std::optional<unsigned> mStatus;
     /// Writes are executed and their answers lost.
     bool mLoseAnswers = false;
     /// Calls are held and never answered.
@@ -198,7 +198,7 @@
       co_await Pause();
     }
     if (mFaults.mStatus) {
-      co_await aConnection.Write(Empty(http::status(mFaults.mStatus)));
+      co_await aConnection.Write(Empty(http::status(*mFaults.mStatus)));
       co_return;
     }
     const auto target = RequestTarget::Parse(text);
