Refuse the part of an answer that a reset cuts during an upload

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a complete answer, with a length or, above 256 KiB, in pieces with a proper end.

Cause: a socket reports its error once. When a write waits, the event of the reset runs the write first, which takes ECONNRESET; PendingWrite recorded only that it was not done. The read then sees the end of the stream, and an answer without a length ends with its stream.

Ruled out: uploads that fit into the socket's buffer (no write waits), answers with a length or in chunks (the parser misses their end), and the other readers of a socket's error. ExchangeForwarder, StoreClient and HttpClientPool write first and give up on an error; the peek of IsStale drops the connection; HasPeerClosed keeps what it has seen, and a request body always has a length or chunks; other instances frame what they pass on.

Change: PendingWrite records that the connection broke. ReadSome reports AnswerIncomplete where an answer without a length ends after that. EPIPE is left out: the kernel returns it to the first write after a reset only if the peer had ended its side before, so that all of the answer was there.

Why it works: every reader of a body goes through ReadSome, so the answer that is collected becomes 502, the one that is passed on in pieces is aborted, and a second instance gets a body without its end. A dead path (ETIMEDOUT) has the same effect.

--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -140,6 +140,8 @@
     *aRequest,
     [aRequest, write = mPendingWrite](const ErrorCode& aError, size_t) {
       write->mDone = !aError;
+      // A broken pipe means that the peer had ended its side before.
+      write->mConnectionBroke = aError && aError != asio::error::broken_pipe;
     });
   const ErrorCode ec =
     co_await ReadHeaderUntil(SteadyNow() + aTimeout, LastHeader::Final);
@@ -256,9 +258,23 @@
       co_return n;
     }
   }
+  if (IsEndBroken()) {
+    mFailed = true;
+    co_return Error{ ResultCode::AnswerIncomplete,
+                     "the connection broke while the request was written",
+                     {} };
+  }
   co_return size_t(0);
 }
 
+bool HttpClientConnection::IsEndBroken() const
+{
+  // A socket reports its error once. If the write has taken it, reading sees an
+  // orderly end.
+  return mParser->need_eof() && mPendingWrite &&
+         mPendingWrite->mConnectionBroke;
+}
+
 bool HttpClientConnection::IsReusable() const
 {
   const bool written = mRequestDone || (mPendingWrite && mPendingWrite->mDone);
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -62,7 +62,8 @@
   const ResponseHeader& Header() const;
   std::optional<uint64_t> BodyLength() const;
   /// Reads up to `aSize` body bytes. Returns the number read, 0 at the end of
-  /// the answer. Errors: AnswerIncomplete if the answer is truncated.
+  /// the answer. Errors: AnswerIncomplete if the answer is truncated, also by a
+  /// reset that the write of the request has met.
   Awaitable<Result<size_t>> ReadSome(char* aData,
                                      size_t aSize,
                                      Duration aTimeout);
@@ -95,6 +96,8 @@
   struct PendingWrite
   {
     bool mDone = false;
+    /// True if the connection broke before the peer had ended its side.
+    bool mConnectionBroke = false;
   };
 
   /// The header at which reading ends.
@@ -104,6 +107,9 @@
     Continue,
   };
 
+  /// Returns true if the answer ends with its connection, and the connection
+  /// broke instead of being ended by the peer.
+  bool IsEndBroken() const;
   Awaitable<ErrorCode> ReadOneHeader(Duration aTimeout);
   Awaitable<ErrorCode> ReadHeaderUntil(TimePoint aUntil, LastHeader aLast);
 
--- a/test/platform/RelayedBrokenAnswers.cpp
+++ b/test/platform/RelayedBrokenAnswers.cpp
@@ -7,6 +7,10 @@
 
 using Connection = RawTarget::Connection;
 
+/// More than the socket buffers of a connection hold, so that the request is
+/// still being written when the answer ends.
+constexpr size_t kLongUploadBytes = 12'000'000;
+
 } // namespace
 
 // Guards against an answer without a valid status that reaches a caller through
@@ -58,3 +62,61 @@
     });
   }
 }
+
+// Guards against a part of an answer that reaches a caller as the whole through
+// another instance: a reset cuts it while an upload is still being written to
+// the target or to the other instance.
+TEST_CASE("a relayed answer that a reset cuts is not complete")
+{
+  struct Row
+  {
+    bool mIsFromPeer;
+    size_t mPartBytes;
+  };
+  const Row rows[] = {
+    { false, 20'000 }, { false, 700'000 }, { true, 20'000 }, { true, 700'000 }
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mIsFromPeer);
+    CAPTURE(row.mPartBytes);
+    RelayFixture fixture;
+    auto configuration = RelayFixture::Configuration();
+    configuration["limits"]["maxBodyBytes"] = 2 * kLongUploadBytes;
+    fixture.mFirst.Configure(configuration);
+    fixture.mPeers[0]->Configure(configuration);
+    int received = 0;
+    const RawTarget::Script script =
+      [&](Connection& aConnection) -> Awaitable<void> {
+      const auto request = co_await aConnection.ReadRequest();
+      if (request.empty()) {
+        co_return;
+      }
+      ++received;
+      std::string head = RawTarget::Head(request);
+      if (row.mIsFromPeer) {
+        head += "Pollenway-Relay-Result: answer\r\n"
+                "Pollenway-Relay-Attempts: 1\r\n";
+      }
+      co_await aConnection.Write(head + "\r\n" +
+                                 std::string(row.mPartBytes, 'b'));
+      co_await aConnection.Pause(20ms);
+      aConnection.Reset();
+    };
+    RawTarget target(fixture.mIo.get_executor(), script);
+    if (row.mIsFromPeer) {
+      fixture.mRawScript = script;
+      fixture.UsePeers({ 1 });
+    } else {
+      fixture.mPeers[0]->AddTarget("i-0", target.Port());
+    }
+    fixture.Run([&]() -> Awaitable<void> {
+      auto request = fixture.Request("/once/1");
+      request.body() = std::string(kLongUploadBytes, 'u');
+      const auto answer = co_await fixture.Exchange(std::move(request));
+      // An answer that was passed on in pieces ends without its last one.
+      CHECK((answer.result_int() == 502 || answer.result_int() == 0));
+      CHECK(received == 1);
+      target.Stop();
+    });
+  }
+}
