Refuse answers with a folded header field

What callers saw: nothing yet. A line that begins with a blank continues the field before it. Behind the signature, the caller gets a 200 whose signature is not the target's; behind another field, a folded Content-Length is lost, and the caller gets a body that runs to the end of the connection.

Cause: the parser joins folded lines and http::async_read_header does not show that it has. HTTP allows a gateway to join them or to refuse the answer; sound targets don't fold.

Change: HttpClientConnection feeds the parser itself and looks at the bytes of the header that it has used. The rest does what http::async_read_header does.

Why it works: a field is used only when the first byte of the next line is known, so that a fold is always within the bytes of one step.

--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -6,13 +6,17 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/read_size.hpp>
 
 #include <limits>
+#include <string_view>
 
 namespace pollenway {
 
 namespace {
 
+constexpr size_t kMaxReadBytes = 64 * 1024;
+
 /// Returns true for a status that an answer to a request may have. Switching
 /// protocols is none: this client never asks for it.
 bool IsValidStatus(unsigned aStatus)
@@ -21,6 +25,13 @@
          http::status(aStatus) != http::status::switching_protocols;
 }
 
+/// Returns true if a line of a header continues the field of the line before.
+bool HasFoldedLine(std::string_view aLines)
+{
+  return aLines.find("\n ") != std::string_view::npos ||
+         aLines.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 HttpClientConnection::HttpClientConnection(asio::any_io_executor aExecutor)
@@ -174,12 +185,11 @@
 
 Awaitable<ErrorCode> HttpClientConnection::ReadOneHeader(Duration aTimeout)
 {
-  ErrorCode ec;
   mParser.emplace();
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   mParser->skip(mIsHead);
   mStream.expires_after(aTimeout);
-  co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
+  ErrorCode ec = co_await ParseHeader();
   if (!ec && !IsValidStatus(Header().result_int())) {
     // The parser accepts any three digits.
     ec = http::error::bad_status;
@@ -188,6 +198,37 @@
   co_return ec;
 }
 
+Awaitable<ErrorCode> HttpClientConnection::ParseHeader()
+{
+  for (;;) {
+    ErrorCode ec = http::error::need_more;
+    if (mBuffer.size() > 0) {
+      const auto bytes = mBuffer.cdata();
+      const size_t n = mParser->put(bytes, ec);
+      // The parser joins folded lines, which changes the field before them and
+      // hides a length among them. http::async_read_header doesn't show it.
+      if (HasFoldedLine({ static_cast<const char*>(bytes.data()), n })) {
+        co_return http::error::bad_value;
+      }
+      mBuffer.consume(n);
+    }
+    if (ec != http::error::need_more) {
+      co_return ec;
+    }
+    const size_t size = beast::read_size(mBuffer, kMaxReadBytes);
+    const size_t n =
+      co_await mStream.async_read_some(mBuffer.prepare(size), Into(ec));
+    mBuffer.commit(n);
+    if (ec == asio::error::eof) {
+      co_return mParser->got_some() ? http::error::partial_message
+                                    : http::error::end_of_stream;
+    }
+    if (ec) {
+      co_return ec;
+    }
+  }
+}
+
 Awaitable<ErrorCode> HttpClientConnection::ReadHeaderUntil(TimePoint aUntil,
                                                            LastHeader aLast)
 {
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -110,6 +110,9 @@
   /// Returns true if the answer ends with its connection, and the connection
   /// broke instead of being ended by the peer.
   bool IsEndBroken() const;
+  /// Reads until the parser has a whole header. Errors: bad_value for a folded
+  /// field.
+  Awaitable<ErrorCode> ParseHeader();
   Awaitable<ErrorCode> ReadOneHeader(Duration aTimeout);
   Awaitable<ErrorCode> ReadHeaderUntil(TimePoint aUntil, LastHeader aLast);
 
