Bound the memory that answers of the store take

What callers would see: an instance that runs out of memory ends, and with it the requests of all its callers.

Cause: StoreClient kept up to 256 MiB of one answer, twice while the text grows. PlatformStore kept 8 MiB, but appended before it compared, so that the text had been doubled when the answer was given up.

Evidence: bytes without end as answers to all calls that an instance has open at a time.

Ruled out: heads, interim answers, chunk extensions and trailers without end; the connection's limits hold there (growth below 2 MB).

A watch of StoreClient whose answer is too large asks for a listing, as PlatformStore's does; else it would get the same answer again.

The new tests are in error.StoreClient and platform.PlatformStore.

--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -113,10 +113,10 @@
     if (n.value() == 0) {
       break;
     }
-    answer.body().append(buf, n.value());
-    if (answer.body().size() > aAnswerLimit) {
+    if (answer.body().size() + n.value() > aAnswerLimit) {
       co_return Error{ ResultCode::MessageTooLarge, "answer too large", {} };
     }
+    answer.body().append(buf, n.value());
   }
   Release(aEndpoint, std::move(connection));
   co_return answer;
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr size_t kMaxValueBytes = 1 << 20;
-/// Listings and the answers to watches contain many values.
-constexpr size_t kMaxAnswerBytes = 256 * 1024 * 1024;
+/// Listings and the answers to watches contain many values. Several calls are
+/// open at a time, and a growing text is held twice.
+constexpr size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 /// Writes don't use connections that have been idle for longer: the store may
 /// be closing them, and the outcome would then be unknown.
 constexpr auto kMaxIdleBeforeWrite = std::chrono::seconds(5);
@@ -58,6 +59,7 @@
   /// True if bytes of the request may have reached the store.
   bool mSent = false;
   bool mAnswered = false;
+  bool mIsTooLarge = false;
   std::string mFailure;
 };
 
@@ -109,7 +111,9 @@
   for (;;) {
     auto n = co_await connection->ReadSome(
       buf.data(), buf.size(), mOptions.mRequestTimeout);
-    if (!n || aExchange.mAnswer.body().size() > kMaxAnswerBytes) {
+    auto& body = aExchange.mAnswer.body();
+    aExchange.mIsTooLarge = n && body.size() + n.value() > kMaxAnswerBytes;
+    if (!n || aExchange.mIsTooLarge) {
       aExchange.mFailure = n ? "the answer is too large" : n.error().mDetail;
       OnCallEnded(false);
       co_return;
@@ -117,7 +121,7 @@
     if (n.value() == 0) {
       break;
     }
-    aExchange.mAnswer.body().append(buf.data(), n.value());
+    body.append(buf.data(), n.value());
   }
   mPool.Release(mOptions.mEndpoint, std::move(connection));
   aExchange.mAnswered = aExchange.mAnswer.result_int() < 500;
@@ -284,6 +288,10 @@
   exchange.mRequest = TextRequest(http::verb::get, path, 11);
   exchange.mExtraTime = aTimeout;
   co_await Run(exchange);
+  if (exchange.mIsTooLarge) {
+    // The same watch would get the same answer again.
+    co_return Error{ ResultCode::InvalidState, exchange.mFailure, path };
+  }
   if (!exchange.mAnswered) {
     co_return Unavailable(exchange.mFailure);
   }
--- a/test/error/StoreClient.cpp
+++ b/test/error/StoreClient.cpp
@@ -1,6 +1,7 @@
 #include "StoreClient.h"
 
 #include "../PlatformFixture.h"
+#include "../platform/EndlessStore.h"
 
 using namespace pollenway;
 
@@ -127,3 +128,45 @@
   CHECK(count >= done);
   CHECK(count <= done + unknown);
 }
+
+// Guards against a store, or whatever answers at its address, that fills the
+// memory of an instance with bytes without end.
+TEST_CASE("answers without end from the store are given up")
+{
+  // An instance watches all kinds of objects with one call.
+  CheckEndlessStore(
+    1, [](asio::any_io_executor aExecutor, tcp::endpoint aEndpoint) {
+      StoreClient::Options options;
+      options.mEndpoint = aEndpoint;
+      options.mRequestTimeout = std::chrono::milliseconds(500);
+      return std::make_unique<StoreClient>(aExecutor, options);
+    });
+}
+
+// Guards against a watch that fails at the same position for ever, because the
+// answer is too large.
+TEST_CASE("a watch whose answer is too large asks for a listing")
+{
+  PlatformFixture fixture;
+  auto& store = *fixture.mClient;
+  fixture.Run([&]() -> Awaitable<void> {
+    const std::string value(1'000'000, 'v');
+    for (int n = 0; n < 9; ++n) {
+      const auto write = co_await store.Put("k", std::to_string(n), value, {});
+      CHECK(write.IsDone());
+    }
+    const auto changes =
+      co_await store.Watch("k", { {}, 0 }, std::chrono::seconds(1));
+    CHECK_FALSE(changes);
+    if (!changes) {
+      CHECK(changes.error().mCode == ResultCode::InvalidState);
+    }
+    for (int n = 0; n < 5; ++n) {
+      const auto removed = co_await store.Delete("k", std::to_string(n), {});
+      CHECK(removed.IsDone());
+    }
+    const auto listing = co_await store.List("k", ReadFreshness::Current);
+    CHECK(listing);
+    CHECK((!listing || listing.value().mObjects.size() == 4));
+  });
+}
--- a/test/platform/PlatformStore.cpp
+++ b/test/platform/PlatformStore.cpp
@@ -1,5 +1,6 @@
 #include "PlatformStore.h"
 
+#include "EndlessStore.h"
 #include "OddEntries.h"
 #include "RunCoroutine.h"
 #include "StoreStandIn.h"
@@ -301,3 +302,18 @@
     });
   }
 }
+
+// Guards against a store, or whatever answers at its address, that fills the
+// memory of an instance with bytes without end.
+TEST_CASE("answers without end from the store are given up")
+{
+  // An instance watches three kinds of objects.
+  CheckEndlessStore(
+    3, [](asio::any_io_executor aExecutor, tcp::endpoint aEndpoint) {
+      return std::make_unique<PlatformStore>(
+        aExecutor,
+        PlatformStore::Options{ .mEndpoint = aEndpoint,
+                                .mConnectTimeout = 200ms,
+                                .mRequestTimeout = 500ms });
+    });
+}
