Refuse names that can't be sent in a header field

What targets saw: requests with a header field that no caller had sent, when the name of an entry in the list of targets held CR LF; requests without the end of the name, or with a control character, for other odd names. Callers got 502 for a request at such a target. Cause: MakeTargetRequest and RequestRelay write the name of a target, and the name of a workspace or a service, into header fields as they are. Same class as the calls to the store: a text of another writer becomes a part of a message. Ruled out: paths, bodies and ids of requests, which the parser of callers' requests checks; the health path, which is read and not used; answers, whose fields come from a parser; labels of metrics, which MetricsWriter escapes. A target with another name is not used, as with a wrong field. A configuration with such a name of a workspace or service is refused as a whole, as with a wrong field; the one before stays in force. Blanks within a name, bytes beyond ASCII and all punctuation stay allowed.

--- a/test/platform/PlatformRecords.cpp
+++ b/test/platform/PlatformRecords.cpp
@@ -208,6 +208,44 @@
   CHECK(other.value().mRecordSequence == 0);
 }
 
+// Guards against a name of another writer that becomes a header field of its
+// own in the requests to a target, or that no request can contain.
+TEST_CASE("a target whose name can't be sent in a header field is not used")
+{
+  const std::string names[] = {
+    "",           " i-1",  "i-1 ",  "i\t1",      "i\n1",
+    "i\r1",       "i\x01", "i\x7f", "i\r\nX: 1", std::string("i\0", 2),
+    "\xc2\xa0\r",
+  };
+  for (const auto& it : names) {
+    CAPTURE(it);
+    CHECK_FALSE(ReadPlatformTarget(it, SampleTarget().dump()));
+  }
+  for (const char* it : { "i-1", "i 1", "i&1", "\xc3\xa4", "a/b\"c" }) {
+    CAPTURE(it);
+    CHECK(ReadPlatformTarget(it, SampleTarget().dump()));
+  }
+}
+
+// Guards against the same by the name of a workspace or a service.
+TEST_CASE("names of a configuration can be sent in header fields")
+{
+  for (const char* path :
+       { "/tenants/0/name", "/services/0/name", "/routes/1/service" }) {
+    CAPTURE(path);
+    const json::json_pointer pointer(path);
+    auto configuration = SampleConfiguration();
+    REQUIRE(configuration.contains(pointer));
+    configuration[pointer] = "a b";
+    CHECK(ReadPlatformConfiguration(configuration.dump()));
+    for (const char* name : { "a\r\nX: 1", "a\n", "a\x7f", " a" }) {
+      CAPTURE(name);
+      configuration[pointer] = name;
+      CHECK_FALSE(ReadPlatformConfiguration(configuration.dump()));
+    }
+  }
+}
+
 // Guards against parsing look-ups and header values incorrectly.
 TEST_CASE("look-ups, deadlines and loads are translated")
 {
