--- a/test/platform/StoreStandIn.h
+++ b/test/platform/StoreStandIn.h
@@ -40,6 +40,10 @@
     bool mHideEra = false;
     /// The answer to the next listing is made, and sent by `SendHeldListing`.
     bool mHoldNextListing = false;
+    /// Listings that continue after a name with this text are refused with 400.
+    std::string mRefusedText;
+    /// Calls with a longer request target are refused with 414.
+    size_t mMaxTargetBytes = 8000;
   };
 
   explicit StoreStandIn(asio::any_io_executor aExecutor, size_t aPageSize = 500)
@@ -214,6 +218,16 @@
       co_return;
     }
     const RequestTarget& target = *url;
+    if (text.size() > mFaults.mMaxTargetBytes) {
+      co_await aConnection.Write(Empty(http::status::uri_too_long));
+      co_return;
+    }
+    const auto after = target.mQuery.find("after");
+    if (!mFaults.mRefusedText.empty() && after != target.mQuery.end() &&
+        after->second.find(mFaults.mRefusedText) != std::string::npos) {
+      co_await aConnection.Write(Empty(http::status::bad_request));
+      co_return;
+    }
     if (target.mSegments.size() < 2 || target.mSegments[0] != "objects" ||
         !body) {
       co_await aConnection.Write(Empty(http::status::not_found));
