Leave out objects whose names are too long

What an operator saw: with 20 entries whose names have 70,000 bytes each, the instances of a zone no longer got changes from their reader; each one read the store itself. Cause: the size of a spec that is kept and passed on has a bound, that of a name has none. The names filled the message in which a reader passes its objects on. The names of targets, zones and instances have some ten bytes.

--- a/test/platform/PlatformStorePages.cpp
+++ b/test/platform/PlatformStorePages.cpp
@@ -1,5 +1,6 @@
 #include "PlatformStore.h"
 
+#include "ListingCursor.h"
 #include "RunCoroutine.h"
 #include "StoreStandIn.h"
 
@@ -100,3 +101,29 @@
     }
   }
 }
+
+// Guards against names that fill the memory of an instance, its log lines and
+// its messages to other instances.
+TEST_CASE("an object whose name is too long is left out")
+{
+  asio::io_context io;
+  StoreStandIn server(io.get_executor());
+  REQUIRE(server.Listen());
+  PlatformStore store(io.get_executor(), { .mEndpoint = server.Endpoint() });
+  RunCoroutine(io, [&]() -> Awaitable<void> {
+    const std::string longest(ListingCursor::kMaxNameBytes, 'x');
+    server.Set("servers", longest, 1);
+    server.Set("servers", longest + "x", 1);
+    server.Set("servers", std::string(900'000, 'x'), 1);
+    const StorePosition before{ { server.Era() }, 10 };
+    const auto listing = co_await store.List("servers", ReadFreshness::Current);
+    REQUIRE(listing);
+    REQUIRE(listing.value().mObjects.size() == 1);
+    CHECK(listing.value().mObjects[0].mName == longest);
+    const auto changes = co_await store.Watch("servers", before, 1s);
+    REQUIRE(changes);
+    REQUIRE(changes.value().mChanges.size() == 1);
+    CHECK(changes.value().mChanges[0].mName == longest);
+    server.Stop();
+  });
+}
--- a/test/platform/RelayedStore.cpp
+++ b/test/platform/RelayedStore.cpp
@@ -128,6 +128,25 @@
   });
 }
 
+// Guards against entries of another writer whose names fill the messages
+// between instances, so that each of them reads the store itself.
+TEST_CASE("a follower gets changes from its reader beside long names")
+{
+  Fixture fixture;
+  RunCoroutine(fixture.mIo, [&]() -> Awaitable<void> {
+    for (int n = 0; n < 20; ++n) {
+      fixture.mServer.Set("k", std::to_string(n) + std::string(70'000, 'x'), 1);
+    }
+    co_await fixture.Pause(1300ms);
+    CHECK(fixture.mFollower->mNames.contains("a"));
+    fixture.mServer.Set("k", "b", 1);
+    co_await fixture.Pause(200ms);
+    CHECK(fixture.mFollower->mNames.contains("b"));
+    CHECK(fixture.FollowerCalls() == 0);
+    fixture.mServer.Stop();
+  });
+}
+
 // Guards against a zone that receives no changes because its reader is gone,
 // does not read the store, or is refused by the store.
 TEST_CASE("a follower reads the store itself when its reader is unavailable")
