--- a/test/platform/DepartedCallers.cpp
+++ b/test/platform/DepartedCallers.cpp
@@ -465,8 +465,10 @@
     { { "service", "s" },
       { "address", "127.0.0.1:" + std::to_string(target.Port()) },
       { "zone", "z" },
+      { "version", "v1" },
       { "slots", 4 },
       { "state", "ready" },
+      { "coldRemainingS", 0 },
       { "sequence", 1 } });
   fixture.Run([&]() -> Awaitable<void> {
     co_await fixture.Until([&] { return fixture.mServer->IsReady(); });
--- a/test/platform/GatewayFixture.h
+++ b/test/platform/GatewayFixture.h
@@ -72,8 +72,10 @@
              { "address",
                "127.0.0.1:" + std::to_string(mTargets[aIndex]->Port()) },
              { "zone", "z" },
+             { "version", "v1" },
              { "slots", 4 },
              { "state", aState },
+             { "coldRemainingS", 0 },
              { "sequence", 1 } };
   }
 
--- a/test/platform/LateRequestFixture.h
+++ b/test/platform/LateRequestFixture.h
@@ -97,8 +97,10 @@
         { { "service", "s" },
           { "address", "127.0.0.1:" + std::to_string(it->Port()) },
           { "zone", "z" },
+          { "version", "v1" },
           { "slots", 100 },
           { "state", "ready" },
+          { "coldRemainingS", 0 },
           { "sequence", 1 } });
     }
   }
--- a/test/platform/RawTargetFixture.h
+++ b/test/platform/RawTargetFixture.h
@@ -30,8 +30,10 @@
     { { "service", "s" },
       { "address", "127.0.0.1:" + std::to_string(target.Port()) },
       { "zone", "z" },
+      { "version", "v1" },
       { "slots", 4 },
       { "state", "ready" },
+      { "coldRemainingS", 0 },
       { "sequence", 1 } });
   fixture.Run([&]() -> Awaitable<void> {
     co_await aTest(fixture, target);
@@ -52,8 +54,10 @@
       { { "service", "s" },
         { "address", "127.0.0.1:" + std::to_string(aTarget.Port()) },
         { "zone", "z" },
+        { "version", "v1" },
         { "slots", 4 },
         { "state", "ready" },
+        { "coldRemainingS", 0 },
         { "sequence", 1 } });
   }
 }
--- a/test/platform/RelayFixture.h
+++ b/test/platform/RelayFixture.h
@@ -77,8 +77,10 @@
       { "service", "s" },
       { "address", "127.0.0.1:" + std::to_string(aPort) },
       { "zone", "z" },
+      { "version", "v1" },
       { "slots", 4 },
       { "state", "ready" },
+      { "coldRemainingS", 0 },
       { "sequence", 1 },
       { "born", aStartedAtMs },
     };
