Escape names in calls of the product's own interface

What an operator would see: a call for an object whose name has `?`, `#` or a final slash reads, replaces or removes another object; with CR LF it makes a call of its own, or adds a condition to its own. StoreClient put names of workspaces, zones and objects into the path as they are, pollenwayctl put an operator's request id into a query, and RequestTarget did not decode. Change: StoreClient and `pollenwayctl explain` escape names, RequestTarget decodes segments and parameters; a malformed escape stays as it is. Colons are not escaped: the store of this interface allows them in names, and a URL does.

--- a/src/PercentEncoding.cpp
+++ b/src/PercentEncoding.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr std::string_view kUnreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
-                                         "abcdefghijklmnopqrstuvwxyz"
-                                         "0123456789-._~";
+constexpr std::string_view kUnescaped = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                        "abcdefghijklmnopqrstuvwxyz"
+                                        "0123456789-._~:";
 
 } // namespace
 
@@ -18,7 +18,7 @@
   std::string out;
   out.reserve(aText.size());
   for (const char it : aText) {
-    if (kUnreserved.find(it) != std::string_view::npos) {
+    if (kUnescaped.find(it) != std::string_view::npos) {
       out += it;
       continue;
     }
--- a/src/PercentEncoding.h
+++ b/src/PercentEncoding.h
@@ -7,7 +7,7 @@
 namespace pollenway {
 
 /// Returns `aText` as a segment of a URL's path, or as a name or value of its
-/// query: all bytes are escaped except for letters, digits and "-._~".
+/// query: all bytes are escaped except for letters, digits and "-._~:".
 std::string PercentEncode(std::string_view aText);
 
 /// Replaces the escapes of `aText` by the bytes that they stand for. Returns
--- a/src/RequestTarget.cpp
+++ b/src/RequestTarget.cpp
@@ -1,5 +1,7 @@
 #include "RequestTarget.h"
 
+#include "PercentEncoding.h"
+
 #include <charconv>
 
 namespace pollenway {
@@ -18,6 +20,11 @@
   }
 }
 
+std::string Decode(std::string_view aText)
+{
+  return PercentDecode(aText).value_or(std::string(aText));
+}
+
 } // namespace
 
 RequestTarget RequestTarget::Parse(std::string_view aText)
@@ -25,13 +32,13 @@
   RequestTarget target;
   const size_t queryStart = std::min(aText.find('?'), aText.size());
   Split(aText.substr(0, queryStart), '/', [&](std::string_view aSegment) {
-    target.mSegments.emplace_back(aSegment);
+    target.mSegments.push_back(Decode(aSegment));
   });
   if (queryStart < aText.size()) {
     Split(aText.substr(queryStart + 1), '&', [&](std::string_view aPair) {
       const size_t n = std::min(aPair.find('='), aPair.size());
-      target.mQuery[std::string(aPair.substr(0, n))] =
-        aPair.substr(std::min(n + 1, aPair.size()));
+      target.mQuery[Decode(aPair.substr(0, n))] =
+        Decode(aPair.substr(std::min(n + 1, aPair.size())));
     });
   }
   return target;
--- a/src/RequestTarget.h
+++ b/src/RequestTarget.h
@@ -12,7 +12,8 @@
 /// The components of an HTTP request target such as "/v1/objects/a?after=3".
 struct RequestTarget
 {
-  /// Splits `aText` without percent-decoding.
+  /// Splits `aText` and decodes the parts. A part with a malformed escape is
+  /// kept as it is.
   static RequestTarget Parse(std::string_view aText);
 
   /// Returns a query parameter as a number; empty if it is absent, not a
--- a/src/StoreClient.cpp
+++ b/src/StoreClient.cpp
@@ -1,5 +1,6 @@
 #include "StoreClient.h"
 
+#include "PercentEncoding.h"
 #include "RequestTarget.h"
 
 #include <nlohmann/json.hpp>
@@ -23,9 +24,14 @@
   return options;
 }
 
+std::string KindPath(const std::string& aKind)
+{
+  return "/v1/objects/" + PercentEncode(aKind);
+}
+
 std::string ObjectPath(const std::string& aKind, const std::string& aName)
 {
-  return "/v1/objects/" + aKind + "/" + aName;
+  return KindPath(aKind) + "/" + PercentEncode(aName);
 }
 
 Error Unavailable(const std::string& aDetail)
@@ -161,7 +167,7 @@
                                                   ReadFreshness /*aFreshness*/)
 {
   ++mCalls.mLists;
-  const std::string path = "/v1/objects/" + aKind;
+  const std::string path = KindPath(aKind);
   Exchange exchange;
   exchange.mRequest = TextRequest(http::verb::get, path, 11);
   co_await Run(exchange);
@@ -281,7 +287,8 @@
   ++mCalls.mWatches;
   const auto ms =
     std::chrono::duration_cast<std::chrono::milliseconds>(aTimeout);
-  const std::string path = "/v1/watch" + (aKind.empty() ? "" : "/" + aKind) +
+  const std::string kind = aKind.empty() ? "" : "/" + PercentEncode(aKind);
+  const std::string path = "/v1/watch" + kind +
                            "?after=" + std::to_string(aAfter.mRevision) +
                            "&timeout_ms=" + std::to_string(ms.count());
   Exchange exchange;
--- a/test/correctness/RequestTarget.cpp
+++ b/test/correctness/RequestTarget.cpp
@@ -21,6 +21,20 @@
   CHECK(RequestTarget::Parse("/?").mSegments.empty());
 }
 
+// Guards against taking the escaped form of a text for the text.
+TEST_CASE("segments and parameters are decoded")
+{
+  const auto target =
+    RequestTarget::Parse("/a%2Fb/%6e/%zz?na%26me=a%3Db%26c&last=%31&odd=5%");
+  REQUIRE(target.mSegments.size() == 3);
+  CHECK(target.mSegments[0] == "a/b");
+  CHECK(target.mSegments[1] == "n");
+  CHECK(target.mSegments[2] == "%zz");
+  CHECK(target.mQuery.at("na&me") == "a=b&c");
+  CHECK(target.Number("last") == 1);
+  CHECK(target.mQuery.at("odd") == "5%");
+}
+
 // Guards against accepting partial or overflowing numbers.
 TEST_CASE("a number takes up the whole text and fits into 64 bits")
 {
--- a/test/error/StoreClient.cpp
+++ b/test/error/StoreClient.cpp
@@ -47,6 +47,40 @@
   });
 }
 
+// Guards against a name that reads, replaces or removes another object, adds a
+// header field to the call, or makes a call of its own.
+TEST_CASE("a call with an odd name affects no other object")
+{
+  const std::string names[] = {
+    "n?x",
+    "n#x",
+    "n/",
+    "n HTTP/1.1\r\nIf-None-Match: *\r\nX: ",
+    "n HTTP/1.1\r\n\r\nDELETE /v1/objects/k/n",
+  };
+  for (const auto& name : names) {
+    CAPTURE(name);
+    PlatformFixture fixture;
+    auto& store = *fixture.mClient;
+    fixture.Run([&]() -> Awaitable<void> {
+      auto write = co_await store.Put("k", "n", "one", {});
+      REQUIRE(write.IsDone());
+      const auto odd = co_await store.Get("k", name);
+      CHECK_FALSE(odd);
+      write = co_await store.Put("k", name, "two", {});
+      CHECK_FALSE(write.IsDone());
+      write = co_await store.Delete("k", name, {});
+      CHECK_FALSE(write.IsDone());
+      const auto got = co_await store.Get("k", "n");
+      CHECK(got);
+      if (got) {
+        CHECK(got.value().mValue == "one");
+        CHECK(got.value().mVersion == 1);
+      }
+    });
+  }
+}
+
 // Guards against reporting this client's own write as a conflict after its
 // answer was lost, and against reporting a conflict with another writer as a
 // write that took effect.
--- a/tools/pollenwayctl/FleetCommands.cpp
+++ b/tools/pollenwayctl/FleetCommands.cpp
@@ -4,6 +4,7 @@
 #include "HomeMap.h"
 #include "InventoryTexts.h"
 #include "JsonParse.h"
+#include "PercentEncoding.h"
 
 #include <algorithm>
 #include <set>
@@ -200,8 +201,8 @@
   if (!endpoint) {
     co_return CommandResult::Failure(endpoint.error());
   }
-  auto answer =
-    co_await aAdmin.Get(endpoint.value(), "/explain?request=" + aRequest);
+  std::string path = "/explain?request=" + PercentEncode(aRequest);
+  auto answer = co_await aAdmin.Get(endpoint.value(), std::move(path));
   co_return FormatAnswer(answer);
 }
 
