Write no control characters to the log

What an operator would see: a name of another writer in a log line, with bytes that a terminal obeys, or that cut the line for a program that reads it. Cause: the logger replaced CR and LF and wrote all other control characters as they are, such as ESC and NUL, without quotes. `target_record_refused` has the name of an entry. Evidence: by reading the function, which had no test. It was local to the logger, so that the new test could not run against it. Change: FormatLogValue, a function of its own. It quotes values with control characters and replaces these by blanks. Other values are written as before.

--- a/src/Logger.cpp
+++ b/src/Logger.cpp
@@ -1,6 +1,7 @@
 #include "Logger.h"
 
 #include "LogOutput.h"
+#include "LogValue.h"
 
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
@@ -11,22 +12,6 @@
 
 namespace {
 
-std::string Quoted(const std::string& aValue)
-{
-  if (!aValue.empty() &&
-      aValue.find_first_of(" \"=\n\r\t") == std::string::npos) {
-    return aValue;
-  }
-  std::string out = "\"";
-  for (char it : aValue) {
-    if (it == '"' || it == '\\') {
-      out += '\\';
-    }
-    out += (it == '\n' || it == '\r') ? ' ' : it;
-  }
-  return out + '"';
-}
-
 log4cxx::LevelPtr LevelOf(LogLevel aLevel)
 {
   switch (aLevel) {
@@ -168,7 +153,7 @@
     line += ' ';
     line += it.mKey;
     line += '=';
-    line += Quoted(it.mValue);
+    line += FormatLogValue(it.mValue);
   }
   RootLogger()->forcedLog(level, line);
 }
