--- a/test/platform/InstanceRegistry.cpp
+++ b/test/platform/InstanceRegistry.cpp
@@ -1,5 +1,6 @@
 #include "InstanceRegistry.h"
 
+#include "OddEntries.h"
 #include "PlatformStore.h"
 #include "RunCoroutine.h"
 #include "SteadyTime.h"
@@ -135,3 +136,34 @@
     server.Stop();
   });
 }
+
+// Guards against an instance that finds no other one at its start, because an
+// entry of another writer stands before theirs.
+TEST_CASE("an instance is found beside odd entries")
+{
+  asio::io_context io;
+  StoreStandIn server(io.get_executor(), 1);
+  REQUIRE(server.Listen());
+  PlatformStore store(io.get_executor(), { .mEndpoint = server.Endpoint() });
+  InstanceRoster roster;
+  InstanceRegistry registry(
+    io.get_executor(),
+    store,
+    { .mKind = kKind, .mZone = ZoneName("z"), .mSelf = { "10.0.0.1", 7460 } },
+    { .mPosition = [] { return std::optional<size_t>(); },
+      .mNeedsListing = [] { return true; },
+      .mOnListing = [&](const InstanceRoster& aRoster) { roster = aRoster; },
+      .mRestoredAt = {} });
+  for (const auto& it : OddNames()) {
+    server.Set(kKind, it, { { "address", 7 } });
+  }
+  server.Set(kKind,
+             "z-0",
+             { { "address", "10.0.0.9" }, { "port", 7460 }, { "zone", "z" } });
+  registry.Start();
+  RunCoroutine(io, [&]() -> Awaitable<void> {
+    co_await Pause(io, kCheckTime);
+    CHECK(roster.mEntries.size() == 1);
+    server.Stop();
+  });
+}
