--- a/src/ListingCursor.cpp
+++ b/src/ListingCursor.cpp
@@ -1,5 +1,7 @@
 #include "ListingCursor.h"
 
+#include "ControlCharacter.h"
+
 #include <algorithm>
 
 namespace pollenway {
@@ -12,12 +14,6 @@
 constexpr std::string_view kLastCharacter = "\xf4\x8f\xbf\xbf";
 constexpr std::string_view kAfterDelete = "\xc2\x80";
 
-bool IsControl(char aByte)
-{
-  const auto byte = static_cast<unsigned char>(aByte);
-  return byte < 0x20 || byte == 0x7f;
-}
-
 bool CanBeSent(std::string_view aName)
 {
   return !aName.empty() && aName.size() <= ListingCursor::kMaxNameBytes;
@@ -45,7 +41,8 @@
   if (aName.empty()) {
     return " ";
   }
-  const auto control = std::find_if(aName.begin(), aName.end(), IsControl);
+  const auto control =
+    std::find_if(aName.begin(), aName.end(), IsControlCharacter);
   const auto n = size_t(control - aName.begin());
   if (n < std::min(aName.size(), ListingCursor::kMaxNameBytes)) {
     return std::string(aName.substr(0, n)) +
--- a/src/LogValue.cpp
+++ b/src/LogValue.cpp
@@ -1,20 +1,17 @@
 #include "LogValue.h"
 
+#include "ControlCharacter.h"
+
 #include <algorithm>
 
 namespace pollenway {
 
 namespace {
 
-bool IsControl(char aByte)
-{
-  const auto byte = static_cast<unsigned char>(aByte);
-  return byte < 0x20 || byte == 0x7f;
-}
-
 bool NeedsQuotes(char aByte)
 {
-  return aByte == ' ' || aByte == '"' || aByte == '=' || IsControl(aByte);
+  return aByte == ' ' || aByte == '"' || aByte == '=' ||
+         IsControlCharacter(aByte);
 }
 
 } // namespace
@@ -30,7 +27,7 @@
     if (it == '"' || it == '\\') {
       out += '\\';
     }
-    out += IsControl(it) ? ' ' : it;
+    out += IsControlCharacter(it) ? ' ' : it;
   }
   return out + '"';
 }
