Bound the buffer of a server-side connection

Callers saw: the process ran out of memory and ended, with all requests on it. Ruled out: the header of a request and bytes behind a request; both were bounded. Change: the buffer holds the maximum length of a header and one read more. A chunk header or trailers beyond that are refused with 413, and the connection is closed. Why it works: the growth had one place; async_read_some fails when the buffer is full, and the connection ends.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -59,6 +59,8 @@
   mExpectsRequest = false;
   // The limits may have changed while the connection was idle.
   mParser->header_limit(mLimits.mHeaderBytes);
+  mBuffer.max_size(
+    std::max(mBuffer.size(), mLimits.mHeaderBytes + kReadAheadBytes));
   mStream.expires_after(mLimits.mHeaderTimeout);
   co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
   if (!ec) {
@@ -153,6 +155,11 @@
     ec = {};
     mStream.expires_after(mLimits.mIdleTimeout);
     co_await http::async_read_some(mStream, mBuffer, *mParser, Into(ec));
+    if (ec == http::error::buffer_overflow) {
+      co_return Error{ ResultCode::TooLarge,
+                       "a chunk's header or the trailers are too long",
+                       {} };
+    }
     if (ec && ec != http::error::need_buffer) {
       co_return Error{ ResultCode::BadRequest,
                        "request body ended early: " + ec.message(),
@@ -292,9 +299,15 @@
   WaitReadable();
 }
 
+size_t HttpConnection::MaxReadAhead() const
+{
+  // The limits may have been raised since the header was read.
+  return std::min<size_t>(mLimits.mHeaderBytes, mBuffer.max_size());
+}
+
 void HttpConnection::WaitReadable()
 {
-  if (mWatching || mBuffer.size() >= mLimits.mHeaderBytes) {
+  if (mWatching || mBuffer.size() >= MaxReadAhead()) {
     return;
   }
   mWatching = true;
@@ -323,9 +336,9 @@
 {
   ErrorCode ec;
   mStream.socket().non_blocking(true, ec);
-  while (!ec && !mPeerClosed && mBuffer.size() < mLimits.mHeaderBytes) {
+  while (!ec && !mPeerClosed && mBuffer.size() < MaxReadAhead()) {
     const size_t size =
-      std::min(kReadAheadBytes, mLimits.mHeaderBytes - mBuffer.size());
+      std::min(kReadAheadBytes, MaxReadAhead() - mBuffer.size());
     const size_t n = mStream.socket().receive(mBuffer.prepare(size), 0, ec);
     mBuffer.commit(n);
     mPeerClosed = ec && ec != asio::error::would_block;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -14,6 +14,8 @@
 /// Limits of one server-side connection.
 struct HttpLimits
 {
+  /// Maximum length of a header; also of the header of one chunk, and of all
+  /// trailers of a body.
   uint32_t mHeaderBytes = 16 * 1024;
   Duration mHeaderTimeout = std::chrono::seconds(10);
   /// Maximum time that a connection may wait for its next request.
@@ -105,8 +107,12 @@
   Awaitable<ErrorCode> WriteAll(Buffers aBuffers);
   void OnReadable(const ErrorCode& aError);
   void WaitReadable();
+  /// Maximum number of bytes that are read beyond the current request.
+  size_t MaxReadAhead() const;
 
   beast::tcp_stream mStream;
+  /// Bounded, because the parser needs a whole chunk header, or all trailers,
+  /// in the buffer.
   beast::flat_buffer mBuffer;
   HttpLimits mLimits;
   tcp::endpoint mPeer;
