Discard the bodies of requests that are refused already

Callers saw: the process ran out of memory, although no route matched what the crowd had sent. Cause: a request without a route or a valid key was refused only after its body had been read into memory, so that the connection can be reused. 40 chunked bodies of 4 MiB with their end held back were kept. Change: HttpConnection::SkipBody reads such a body without keeping it, up to the limit of a body. Beyond that, the connection is closed after the refusal. The refusal names the route or the key also if the body is malformed or too long. Why it works: no byte of a body is kept before the request has passed its checks.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -437,17 +437,21 @@
   return mRelayListener.ReadFields(aRequest);
 }
 
+uint64_t GatewayFrontend::MaxBodyBytes(const ForwardedRequest& aRequest) const
+{
+  if (aRequest.mIsRelayed) {
+    // The first instance has applied the limit of its configuration.
+    return mRelayListener.MaxBodyBytes();
+  }
+  return mTable ? mTable->Limits().mBodyBytes : CallerLimits().mBodyBytes;
+}
+
 Awaitable<Result<void>> GatewayFrontend::ReadBody(HttpConnection& aConnection,
                                                   ForwardedRequest& aRequest)
 {
   auto& memory =
     aRequest.mIsRelayed ? mRelayListener.BodyMemory() : mBodyMemory;
-  uint64_t limit =
-    mTable ? mTable->Limits().mBodyBytes : CallerLimits().mBodyBytes;
-  if (aRequest.mIsRelayed) {
-    // The first instance has applied the limit of its configuration.
-    limit = mRelayListener.MaxBodyBytes();
-  }
+  const uint64_t limit = MaxBodyBytes(aRequest);
   const auto length = aConnection.BodyLength();
   if (length.value_or(0) > limit) {
     co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
@@ -477,15 +481,14 @@
   if (checked && aRequest.mIsRelayed) {
     checked = CheckRelayed(aRequest);
   }
-  // The body of a refused request is read as well, so that the caller can reuse
-  // its connection.
+  if (!checked) {
+    co_await aConnection.SkipBody(MaxBodyBytes(aRequest));
+    co_return checked.error();
+  }
   auto body = co_await ReadBody(aConnection, aRequest);
   if (!body) {
     co_return body.error();
   }
-  if (!checked) {
-    co_return checked.error();
-  }
   aRequest.mFingerprint = RequestFingerprint::Of(
     aRequest.mWorkspace ? aRequest.mWorkspace->mName : WorkspaceName(),
     View(aRequest.mHeader.method_string()),
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -117,6 +117,7 @@
   /// An error is the refusal to send to the caller.
   Awaitable<Result<void>> Admit(HttpConnection& aConnection,
                                 ForwardedRequest& aRequest);
+  uint64_t MaxBodyBytes(const ForwardedRequest& aRequest) const;
   Awaitable<Result<void>> ReadBody(HttpConnection& aConnection,
                                    ForwardedRequest& aRequest);
   Result<void> CheckRoute(const RequestHeader& aHeader,
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -192,6 +192,18 @@
   }
 }
 
+Awaitable<void> HttpConnection::SkipBody(uint64_t aLimit)
+{
+  char buf[16 * 1024];
+  for (uint64_t total = 0; total <= aLimit;) {
+    auto n = co_await ReadSome(buf, sizeof(buf));
+    if (!n || n.value() == 0) {
+      co_return;
+    }
+    total += n.value();
+  }
+}
+
 bool HttpConnection::IsBodyDone() const
 {
   return mParser->is_done();
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -50,6 +50,10 @@
   Awaitable<Result<size_t>> ReadSome(char* aData, size_t aSize);
   /// Reads the whole body. Errors: TooLarge if it exceeds `aLimit` bytes.
   Awaitable<Result<std::string>> ReadBody(size_t aLimit);
+  /// Reads and discards the rest of the body, so that the connection can be
+  /// reused. Stops after `aLimit` bytes; the connection is then closed after
+  /// the answer.
+  Awaitable<void> SkipBody(uint64_t aLimit);
   bool IsBodyDone() const;
 
   Awaitable<ErrorCode> Write(TextResponse aResponse);
