Count a request's body by the memory that it takes

Callers saw: the process ran out of memory; and a single upload of 64 MiB, which the operators' limits allow, was refused with 503 if it told its length. Cause: a chunked body reserved 256 KiB whatever it grew to, up to the limit of a body. Each body was copied for each attempt at a target, so that only an eighth of the memory could be given to bodies, and a large one didn't fit. Ruled out: bodies of known length; they reserved their length. Change: a chunked body reserves what its string will take before it grows. SharedRequest is written from the body that the request holds, without a copy. BodyMemory has the budget that all bodies share, as before, and beside it one for a single body of up to 3/8 of the memory, which is more than 64 MiB on machines of 182 MiB. On one of 112 MiB the largest body is 42 MiB; before, such a machine would have taken twice the body's size. Why it works: what is reserved is what is allocated, and it is allocated once.

--- a/src/ByteBudget.h
+++ b/src/ByteBudget.h
@@ -56,6 +56,31 @@
     }
     return out;
   }
+  /// Changes a reservation of this budget, an empty one or one of another
+  /// budget to `aBytes` of this one. Returns false, without a change, if they
+  /// exceed the remaining budget.
+  bool Resize(Reservation& aReservation, uint64_t aBytes)
+  {
+    if (!Holds(aReservation)) {
+      auto reservation = Reserve(aBytes);
+      const bool isReserved = bool(reservation);
+      if (isReserved) {
+        aReservation = std::move(reservation);
+      }
+      return isReserved;
+    }
+    const uint64_t others = mUsed - aReservation.mBytes;
+    if (aBytes > mMaxBytes || others > mMaxBytes - aBytes) {
+      return false;
+    }
+    mUsed = others + aBytes;
+    aReservation.mBytes = aBytes;
+    return true;
+  }
+  bool Holds(const Reservation& aReservation) const
+  {
+    return aReservation.mBudget == this;
+  }
   uint64_t Used() const { return mUsed; }
 
 private:
--- a/src/ForwardedRequest.h
+++ b/src/ForwardedRequest.h
@@ -42,7 +42,9 @@
   uint64_t mObject = 0;
   RequestFingerprint mFingerprint;
   RequestHeader mHeader;
-  std::string mBody;
+  /// Shared with the attempts at targets. Never null.
+  std::shared_ptr<const std::string> mBody =
+    std::make_shared<const std::string>();
   ByteBudget::Reservation mBodyMemory;
   TimePoint mReceivedAt{};
   /// End of the attempts at targets.
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -56,13 +56,11 @@
 /// callers, 2.2 s are left with a grace of 6 s.
 constexpr int kAttemptLatencyTargets = 2;
 constexpr Duration kMaxAttemptTime = 2s;
-/// Request bodies may use the memory divided by this number. Bodies are held
-/// twice while they are sent; an eighth of the memory leaves room for
-/// connections and answers.
+/// Request bodies may use the memory divided by this number.
 constexpr uint64_t kBodyMemoryDivisor = 8;
-/// Bytes reserved for a body of unknown length: more than nearly all of the
-/// bodies that the operators' pages describe, with uploads of 60 kB on average.
-constexpr uint64_t kAssumedChunkedBytes = 256 * 1024;
+/// One body at a time may use this part of the memory beside the others: the
+/// largest one that the operators allow (64 MiB) on their first machines.
+constexpr double kSingleBodyFraction = 0.375;
 /// Bodies of at least this size are expensive to transfer between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
@@ -163,7 +161,10 @@
              .mMaxSockets = aState.mSettings.mMaxSockets,
              .mSeed = HashOf({ aState.mSettings.mName.Text() }) },
            aState.mRelay)
-  , mBodyMemory(aState.mSettings.mMemoryBytes / kBodyMemoryDivisor)
+  , mBodyMemory(
+      { .mSharedBytes = aState.mSettings.mMemoryBytes / kBodyMemoryDivisor,
+        .mMaxSingleBytes = uint64_t(kSingleBodyFraction *
+                                    double(aState.mSettings.mMemoryBytes)) })
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
   , mAnnouncements(HashOf({ aState.mSettings.mName.Text(), "announcements" }) ^
                    uint64_t(SteadyNow().time_since_epoch().count()))
@@ -449,28 +450,15 @@
 Awaitable<Result<void>> GatewayFrontend::ReadBody(HttpConnection& aConnection,
                                                   ForwardedRequest& aRequest)
 {
-  auto& memory =
-    aRequest.mIsRelayed ? mRelayListener.BodyMemory() : mBodyMemory;
-  const uint64_t limit = MaxBodyBytes(aRequest);
-  const auto length = aConnection.BodyLength();
-  if (length.value_or(0) > limit) {
-    co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
-  }
-  if (length != 0) {
-    // The length of a chunked body is unknown until its end.
-    aRequest.mBodyMemory =
-      memory.Reserve(length.value_or(kAssumedChunkedBytes));
-    if (!aRequest.mBodyMemory) {
-      co_return Error{ ResultCode::QueueFull,
-                       "the memory for request bodies is used up",
-                       {} };
-    }
-  }
-  auto body = co_await aConnection.ReadBody(limit);
+  auto& memory = aRequest.mIsRelayed ? mRelayListener.Bodies() : mBodyMemory;
+  auto body =
+    co_await aConnection.ReadBody(MaxBodyBytes(aRequest), [&](uint64_t aBytes) {
+      return memory.Resize(aRequest.mBodyMemory, aBytes);
+    });
   if (!body) {
     co_return body.error();
   }
-  aRequest.mBody = std::move(body.value());
+  aRequest.mBody = std::make_shared<const std::string>(std::move(body.value()));
   co_return outcome::success();
 }
 
@@ -493,7 +481,7 @@
     aRequest.mWorkspace ? aRequest.mWorkspace->mName : WorkspaceName(),
     View(aRequest.mHeader.method_string()),
     View(aRequest.mHeader.target()),
-    aRequest.mBody);
+    *aRequest.mBody);
   if (mState.mCrashes.IsRefused(aRequest.mFingerprint)) {
     co_return Error{ ResultCode::Quarantined,
                      "the request has broken off several targets",
@@ -529,7 +517,7 @@
 TargetRanking::Request GatewayFrontend::RankingRequest(
   const ForwardedRequest& aRequest) const
 {
-  const bool isLarge = aRequest.mBody.size() >= kLargeBodyBytes;
+  const bool isLarge = aRequest.mBody->size() >= kLargeBodyBytes;
   std::span<const RegionName> workspaceRegions;
   if (aRequest.mWorkspace) {
     workspaceRegions = aRequest.mWorkspace->mAllowedRegions;
@@ -601,12 +589,12 @@
     aRequest, ResultCode::BackendConnectionLost, "the caller disconnected");
 }
 
-std::shared_ptr<const TextRequest> GatewayFrontend::MakeTargetRequest(
+std::shared_ptr<const SharedRequest> GatewayFrontend::MakeTargetRequest(
   const ForwardedRequest& aRequest,
   const TargetState& aTarget) const
 {
   const auto& fields = mState.mPlatform.Fields();
-  auto out = std::make_shared<TextRequest>(aRequest.mHeader);
+  auto out = std::make_shared<SharedRequest>(aRequest.mHeader);
   RemoveHopFields(*out);
   RemovePrivateFields(*out);
   out->version(11);
@@ -619,9 +607,9 @@
   out->set(fields.mDeadline,
            mState.mPlatform.WriteDeadline(aRequest.mDeadline - SteadyNow()));
   out->body() = aRequest.mBody;
-  if (!aRequest.mBody.empty() || out->method() == http::verb::post ||
+  if (!aRequest.mBody->empty() || out->method() == http::verb::post ||
       out->method() == http::verb::put) {
-    out->content_length(aRequest.mBody.size());
+    out->content_length(aRequest.mBody->size());
   }
   return out;
 }
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ByteBudget.h"
+#include "BodyMemory.h"
 #include "ColdAdmission.h"
 #include "CrashLedger.h"
 #include "GatewaySettings.h"
@@ -154,7 +154,7 @@
   bool BeginWrite(HttpConnection& aConnection, ForwardedRequest& aRequest);
   /// Ends a request whose caller has disconnected.
   void EndAbandoned(const ForwardedRequest& aRequest);
-  std::shared_ptr<const TextRequest> MakeTargetRequest(
+  std::shared_ptr<const SharedRequest> MakeTargetRequest(
     const ForwardedRequest& aRequest,
     const TargetState& aTarget) const;
   void RecordAttempt(const ForwardedRequest& aRequest,
@@ -182,7 +182,7 @@
   HttpClientPool mPool;
   RelayListener mRelayListener;
   RequestRelay mRelay;
-  ByteBudget mBodyMemory;
+  BodyMemory mBodyMemory;
   RequestLog mLog;
   TargetRanking mRanking;
   TargetAnnouncements mAnnouncements;
--- a/src/HttpClientConnection.cpp
+++ b/src/HttpClientConnection.cpp
@@ -135,7 +135,7 @@
 }
 
 Awaitable<ErrorCode> HttpClientConnection::WriteAndReadHeader(
-  std::shared_ptr<const TextRequest> aRequest,
+  std::shared_ptr<const SharedRequest> aRequest,
   Duration aTimeout)
 {
   mParser.reset();
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -46,7 +46,7 @@
   /// an answer to the first part of a long body is seen. `aTimeout` covers
   /// both. The connection is reusable only if the whole request was written.
   Awaitable<ErrorCode> WriteAndReadHeader(
-    std::shared_ptr<const TextRequest> aRequest,
+    std::shared_ptr<const SharedRequest> aRequest,
     Duration aTimeout);
 
   /// Waits until the peer sends something, at most `aTimeout`. Unlike with the
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -175,7 +175,28 @@
 
 Awaitable<Result<std::string>> HttpConnection::ReadBody(size_t aLimit)
 {
+  auto body = co_await ReadBody(aLimit, [](uint64_t) { return true; });
+  co_return body;
+}
+
+Awaitable<Result<std::string>> HttpConnection::ReadBody(
+  size_t aLimit,
+  std::function<bool(uint64_t)> aReserve)
+{
+  const Error tooLarge{ ResultCode::TooLarge, "request body is too large", {} };
+  const Error noMemory{ ResultCode::QueueFull,
+                        "the memory for request bodies is used up",
+                        {} };
+  const uint64_t length = BodyLength().value_or(0);
+  if (length > aLimit) {
+    co_return tooLarge;
+  }
+  if (length > 0 && !aReserve(length)) {
+    co_return noMemory;
+  }
   std::string body;
+  uint64_t reserved = length;
+  body.reserve(length);
   char buf[16 * 1024];
   for (;;) {
     auto n = co_await ReadSome(buf, sizeof(buf));
@@ -185,8 +206,17 @@
     if (n.value() == 0) {
       co_return body;
     }
-    if (body.size() + n.value() > aLimit) {
-      co_return Error{ ResultCode::TooLarge, "request body is too large", {} };
+    const size_t size = body.size() + n.value();
+    if (size > aLimit) {
+      co_return tooLarge;
+    }
+    if (size > reserved) {
+      reserved =
+        std::min<uint64_t>(std::max(2 * reserved, sizeof(buf)), aLimit);
+      if (!aReserve(reserved)) {
+        co_return noMemory;
+      }
+      body.reserve(reserved);
     }
     body.append(buf, n.value());
   }
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -50,6 +50,12 @@
   Awaitable<Result<size_t>> ReadSome(char* aData, size_t aSize);
   /// Reads the whole body. Errors: TooLarge if it exceeds `aLimit` bytes.
   Awaitable<Result<std::string>> ReadBody(size_t aLimit);
+  /// Like `ReadBody`, and calls `aReserve` with the memory that the body will
+  /// take before it takes more: at once for a body of known length, and as it
+  /// grows for a chunked one. Errors: QueueFull if `aReserve` returns false.
+  Awaitable<Result<std::string>> ReadBody(
+    size_t aLimit,
+    std::function<bool(uint64_t)> aReserve);
   /// Reads and discards the rest of the body, so that the connection can be
   /// reused. Stops after `aLimit` bytes; the connection is then closed after
   /// the answer.
--- a/src/RelayListener.cpp
+++ b/src/RelayListener.cpp
@@ -28,7 +28,7 @@
   : mMaxInFlight(aOptions.mMaxSockets / kRelayedSocketDivisor /
                  kSocketsPerRequest)
   , mMaxBodyBytes(aOptions.mMemoryBytes / kRelayedBodyMemoryDivisor)
-  , mBodyMemory(mMaxBodyBytes)
+  , mBodies({ .mSharedBytes = mMaxBodyBytes })
   , mServer(aExecutor, HttpLimits(), std::move(aHandler))
 {
 }
--- a/src/RelayListener.h
+++ b/src/RelayListener.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ByteBudget.h"
+#include "BodyMemory.h"
 #include "HttpServer.h"
 #include "Result.h"
 
@@ -55,14 +55,14 @@
   /// Returns true if there are more relayed requests in flight than allowed.
   bool IsFull() const { return mInFlight > mMaxInFlight; }
   /// Memory for the bodies of relayed requests.
-  ByteBudget& BodyMemory() { return mBodyMemory; }
+  BodyMemory& Bodies() { return mBodies; }
   size_t MaxBodyBytes() const { return mMaxBodyBytes; }
   unsigned InFlight() const { return mInFlight; }
 
 private:
   unsigned mMaxInFlight;
   uint64_t mMaxBodyBytes;
-  ByteBudget mBodyMemory;
+  BodyMemory mBodies;
   HttpServer mServer;
   unsigned mInFlight = 0;
 };
--- a/src/RequestRelay.cpp
+++ b/src/RequestRelay.cpp
@@ -149,12 +149,12 @@
   return InFlight(second) < InFlight(first) ? second : first;
 }
 
-std::shared_ptr<const TextRequest> RequestRelay::MakeRequest(
+std::shared_ptr<const SharedRequest> RequestRelay::MakeRequest(
   const ForwardedRequest& aRequest,
   const PlatformAdapter& aPlatform,
   unsigned aAttemptsLeft)
 {
-  auto out = std::make_shared<TextRequest>(aRequest.mHeader);
+  auto out = std::make_shared<SharedRequest>(aRequest.mHeader);
   RemoveHopFields(*out);
   RemoveInternalFields(*out);
   out->version(11);
@@ -163,7 +163,7 @@
   out->set(aPlatform.Fields().mDeadline,
            aPlatform.WriteDeadline(aRequest.mDeadline - SteadyNow()));
   out->body() = aRequest.mBody;
-  out->content_length(aRequest.mBody.size());
+  out->content_length(aRequest.mBody->size());
   return out;
 }
 
--- a/src/RequestRelay.h
+++ b/src/RequestRelay.h
@@ -76,7 +76,7 @@
                                    TimePoint aNow);
   /// Returns the request for the other instance, with `aAttemptsLeft` attempts
   /// at targets and the time left until the request's deadline.
-  static std::shared_ptr<const TextRequest> MakeRequest(
+  static std::shared_ptr<const SharedRequest> MakeRequest(
     const ForwardedRequest& aRequest,
     const PlatformAdapter& aPlatform,
     unsigned aAttemptsLeft);
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -133,7 +133,7 @@
 }
 
 Awaitable<ErrorCode> TargetExchange::ReadHeader(
-  std::shared_ptr<const TextRequest> aRequest,
+  std::shared_ptr<const SharedRequest> aRequest,
   bool aIsFirst,
   TimePoint aDeadline)
 {
@@ -153,7 +153,7 @@
 }
 
 Awaitable<bool> TargetExchange::ReadMatchingHeader(
-  std::shared_ptr<const TextRequest> aRequest,
+  std::shared_ptr<const SharedRequest> aRequest,
   TimePoint aDeadline,
   TargetAnswer& aAnswer)
 {
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -36,7 +36,7 @@
 public:
   /// Makes the request when it is about to be written, so that its remaining
   /// time is current. Returns null if it must not be sent any more.
-  using RequestSource = std::function<std::shared_ptr<const TextRequest>()>;
+  using RequestSource = std::function<std::shared_ptr<const SharedRequest>()>;
 
   TargetExchange(HttpClientPool& aPool,
                  const PlatformAdapter& aPlatform,
@@ -73,11 +73,11 @@
   bool IsDirect() const { return mTarget != nullptr; }
 
 private:
-  Awaitable<ErrorCode> ReadHeader(std::shared_ptr<const TextRequest> aRequest,
+  Awaitable<ErrorCode> ReadHeader(std::shared_ptr<const SharedRequest> aRequest,
                                   bool aIsFirst,
                                   TimePoint aDeadline);
   Awaitable<bool> ReadMatchingHeader(
-    std::shared_ptr<const TextRequest> aRequest,
+    std::shared_ptr<const SharedRequest> aRequest,
     TimePoint aDeadline,
     TargetAnswer& aAnswer);
   Awaitable<bool> SkipBody(TimePoint aDeadline);
--- a/test/platform/HttpClientConnection.cpp
+++ b/test/platform/HttpClientConnection.cpp
@@ -25,13 +25,13 @@
                                       Sequence aSequence)
 {
   const auto request =
-    std::make_shared<const TextRequest>(http::verb::get, "/", 11);
+    std::make_shared<const SharedRequest>(http::verb::get, "/", 11);
   if (aSequence == Sequence::WriteWhileReading) {
     const ErrorCode ec =
       co_await aConnection.WriteAndReadHeader(request, kTime);
     co_return ec;
   }
-  TextRequest copy = *request;
+  TextRequest copy(request->base());
   ErrorCode ec = co_await aConnection.Write(std::move(copy), kTime);
   REQUIRE_FALSE(ec);
   if (aSequence == Sequence::ReadInterim) {
--- a/test/platform/TargetExchange.cpp
+++ b/test/platform/TargetExchange.cpp
@@ -56,7 +56,7 @@
         pool, platform, reachability, announcements, target);
       const TimePoint until = SteadyNow() + row.mTimeLeft;
       const TargetExchange::RequestSource source = [] {
-        return std::make_shared<const TextRequest>(http::verb::get, "/", 11);
+        return std::make_shared<const SharedRequest>(http::verb::get, "/", 11);
       };
       const auto answer = co_await exchange.Run(source, 0ms, until, until);
       REQUIRE(answer.mFailure);
@@ -126,7 +126,7 @@
         pool, platform, reachability, announcements, target);
       const TimePoint until = SteadyNow() + 6s;
       const TargetExchange::RequestSource source = [] {
-        return std::make_shared<const TextRequest>(http::verb::get, "/", 11);
+        return std::make_shared<const SharedRequest>(http::verb::get, "/", 11);
       };
       const auto answer = co_await exchange.Run(source, 0ms, until, until);
       REQUIRE(answer.mFailure);
--- a/test/processes/crowd.py
+++ b/test/processes/crowd.py
@@ -97,6 +97,24 @@
     yield from chunks(MAX_BODY_BYTES - 1)
 
 
+def relayed(*fields):
+    """A request as another instance relays it."""
+    return head(
+        "POST", "/once/x", "Pollenway-Relay-Service: ledger-svc", "Pollenway-Relay-Attempts: 1",
+        *fields,
+    )
+
+
+def relayed_chunked_body_held():
+    yield relayed("Transfer-Encoding: chunked")
+    yield from chunks(MAX_BODY_BYTES - 1)
+
+
+def relayed_endless_body():
+    yield relayed("Transfer-Encoding: chunked") + b"%x\r\n" % RELAY_BODY_BYTES
+    yield from repeat(b"x")
+
+
 def relayed_chunk_without_end():
     yield chunked() + b"%x\r\n" % RELAY_BODY_BYTES
     yield from repeat(b"x")
@@ -147,7 +165,7 @@
         chunk_size_digits, chunked_body_held, body_of_known_length_held,
         body_without_route_held, relayed_chunk_without_end, many_fields_body_held,
         header_held, large_answer_unread, answers_unread, peer_frame_held, silent,
-        answered_once, header_byte_by_byte, body_byte_by_byte,
+        answered_once, relayed_chunked_body_held, relayed_endless_body, header_byte_by_byte, body_byte_by_byte,
     )
 }
 
