Limit the connections at each port

Callers saw: no ordinary request was served while others kept connections open. Cause: only the callers' port had a limit. Connections to the ports for look-ups, readiness, metrics, relayed requests and messages took all descriptors, so that none was left for callers and targets. At the callers' port, connections whose bodies came byte by byte kept all places for as long as they liked. Change: SocketShares divides the sockets of a process between its ports. A full HttpServer closes a connection that has waited for its caller for a second, in favour of one in the queue: first one that has never had a complete request, then the longest idle. A request that is complete is never cut for this. Beyond their limit, links from other instances replace the longest silent one. EntryServer and AdminServer get the same limits, from the limit of the process on descriptors; there, a body that is streamed to its target doesn't count as waiting. Why it works: the shares add up to less than all sockets, and a caller that is waited for can't keep its place. The ports of EntryServer and AdminServer have no test of processes.

--- a/src/EntryServer.cpp
+++ b/src/EntryServer.cpp
@@ -1,11 +1,14 @@
 #include "EntryServer.h"
 
 #include "Logger.h"
+#include "SocketShares.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
 
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <random>
 
 namespace pollenway {
@@ -27,6 +30,11 @@
 /// members.
 constexpr auto kLeavePropagationTime = std::chrono::milliseconds(1500);
 
+/// Descriptors for files, and the number of sockets if the system sets no
+/// limit.
+constexpr rlim_t kReservedDescriptors = 64;
+constexpr size_t kDefaultMaxSockets = 65536;
+
 FleetState MakeFleetState(EntrySettings aSettings)
 {
   std::random_device device;
@@ -59,6 +67,17 @@
   return { .mAnswerBufferBytes = aSettings.mMaxBufferedAnswerBytes };
 }
 
+/// Returns the number of descriptors that the process may use for sockets.
+size_t MaxSockets()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return kDefaultMaxSockets;
+  }
+  return limit.rlim_cur - std::min(limit.rlim_cur / 2, kReservedDescriptors);
+}
+
 } // namespace
 
 EntryServer::EntryServer(asio::io_context& aIo, EntrySettings aSettings)
@@ -142,6 +161,11 @@
 
 Result<void> EntryServer::Start()
 {
+  const SocketShares shares(MaxSockets());
+  mFrontend.Server().SetMaxConnections(shares.mCallers);
+  mRelayServer.Server().SetMaxConnections(shares.mRelayed);
+  mAdmin.Server().SetMaxConnections(shares.mStatus);
+  mTransport.SetMaxInboundLinks(shares.mPeers);
   BOOST_OUTCOME_TRYV(mFrontend.Listen());
   BOOST_OUTCOME_TRYV(mRelayServer.Listen());
   BOOST_OUTCOME_TRYV(
--- a/src/GatewayDirectory.cpp
+++ b/src/GatewayDirectory.cpp
@@ -3,6 +3,7 @@
 #include "HttpHeaders.h"
 #include "ListedInstances.h"
 #include "Logger.h"
+#include "SocketShares.h"
 #include "SteadyTime.h"
 
 namespace pollenway {
@@ -34,6 +35,9 @@
     return HandleReady(aConnection);
   })
 {
+  const SocketShares shares(mState.mSettings.mMaxSockets);
+  mLookupServer.SetMaxConnections(shares.mLookups);
+  mReadyServer.SetMaxConnections(shares.mStatus);
 }
 
 Result<void> GatewayDirectory::Listen()
--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -64,9 +64,6 @@
 /// Bodies of at least this size are expensive to transfer between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
-/// Callers' connections may use this part of the sockets. The rest stays for
-/// targets: without a free socket, no target can be reached.
-constexpr double kCallerSocketFraction = 0.75;
 /// Idle connections to targets may use the sockets divided by this number; the
 /// remaining ones are for callers and requests in flight.
 constexpr unsigned kIdleSocketDivisor = 3;
@@ -145,6 +142,7 @@
 GatewayFrontend::GatewayFrontend(asio::any_io_executor aExecutor, State aState)
   : mExecutor(aExecutor)
   , mState(aState)
+  , mSocketShares(aState.mSettings.mMaxSockets)
   , mServer(aExecutor,
             HttpLimits(),
             [this](HttpConnection& aConnection) {
@@ -170,8 +168,8 @@
                    uint64_t(SteadyNow().time_since_epoch().count()))
   , mRandom(HashOf({ aState.mSettings.mName.Text(), "frontend" }))
 {
-  mServer.SetMaxConnections(
-    size_t(kCallerSocketFraction * aState.mSettings.mMaxSockets));
+  mServer.SetMaxConnections(mSocketShares.mCallers);
+  mRelayListener.Server().SetMaxConnections(mSocketShares.mRelayed);
   mAnnouncements.OnChange([this](const TargetAnnouncements::Change& aChange) {
     OnAnnouncement(aChange);
   });
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -14,6 +14,7 @@
 #include "RetryBudget.h"
 #include "RoutingTable.h"
 #include "ServiceDemand.h"
+#include "SocketShares.h"
 #include "TargetAnnouncements.h"
 #include "TargetRanking.h"
 #include "TargetReachability.h"
@@ -178,6 +179,7 @@
 
   asio::any_io_executor mExecutor;
   State mState;
+  SocketShares mSocketShares;
   HttpServer mServer;
   HttpClientPool mPool;
   RelayListener mRelayListener;
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -3,6 +3,7 @@
 #include "HashOf.h"
 #include "Logger.h"
 #include "RelayPeers.h"
+#include "SocketShares.h"
 #include "Spawn.h"
 #include "SteadyTime.h"
 #include "StopSchedule.h"
@@ -212,6 +213,9 @@
                 },
                 [this] { return mTargetFeed.RestoredAt(); } })
 {
+  const SocketShares shares(mSettings.mMaxSockets);
+  mPeers.SetMaxInboundLinks(shares.mPeers);
+  mStatus.SetMaxConnections(shares.mStatus);
   const auto& names = mPlatform.Names();
   RelayFeed(names.mConfigurationKind, mConfigurationFeed);
   RelayFeed(names.mTargetKind, mTargetFeed);
--- a/src/GatewayStatus.cpp
+++ b/src/GatewayStatus.cpp
@@ -194,6 +194,10 @@
                          mSources.mRemoteZones.CountReachable(now)));
   writer.Begin("pollenway_connections", "gauge", "Callers' connections.");
   writer.Sample({}, uint64_t(mSources.mFrontend.Server().Connections()));
+  writer.Begin("pollenway_connections_replaced_total",
+               "counter",
+               "Callers' connections that were closed for others.");
+  writer.Sample({}, mSources.mFrontend.Server().ReplacedConnections());
   const auto* table = mSources.mTable();
   writer.Begin(
     "pollenway_table_version", "gauge", "Version of the routing table.");
--- a/src/GatewayStatus.h
+++ b/src/GatewayStatus.h
@@ -45,6 +45,7 @@
   GatewayStatus(asio::any_io_executor aExecutor, Sources aSources);
 
   Result<void> Listen(const std::string& aAddress, uint16_t aPort);
+  void SetMaxConnections(size_t aCount) { mServer.SetMaxConnections(aCount); }
   void Stop() { mServer.Abort(); }
 
   std::string Metrics() const;
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "HttpConnection.h"
 
+#include "SteadyTime.h"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_suffix.hpp>
 
@@ -34,6 +36,7 @@
   mAnswered = false;
   mContinueSent = false;
   mIdle = true;
+  mWaitingSince = SteadyNow();
   mParser.emplace();
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   ErrorCode ec;
@@ -64,6 +67,9 @@
   mStream.expires_after(mLimits.mHeaderTimeout);
   co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
   if (!ec) {
+    if (mParser->is_done()) {
+      mWaitingSince.reset();
+    }
     co_return true;
   }
   co_await RefuseHeader(ec);
@@ -149,6 +155,9 @@
 {
   auto& body = mParser->get().body();
   ErrorCode ec = co_await SendContinue();
+  if (mParser->is_done()) {
+    mWaitingSince.reset();
+  }
   while (!mParser->is_done()) {
     body.data = aData;
     body.size = aSize;
@@ -165,6 +174,9 @@
                        "request body ended early: " + ec.message(),
                        {} };
     }
+    if (mParser->is_done()) {
+      mWaitingSince.reset();
+    }
     const size_t n = aSize - body.size;
     if (n > 0) {
       co_return n;
@@ -250,6 +262,8 @@
 void HttpConnection::PrepareAnswer(ResponseHeader& aHeader)
 {
   mAnswered = true;
+  mHasServed = mHasServed || (mParser && mParser->is_done());
+  mWaitingSince.reset();
   // An unread body would be parsed as the next request.
   if (!mParser || !mParser->is_done()) {
     mCloseAfterAnswer = true;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -83,6 +83,17 @@
   void CloseAfterAnswer() { mCloseAfterAnswer = true; }
   bool ClosesAfterAnswer() const { return mCloseAfterAnswer; }
   bool IsIdle() const { return mIdle && !mExpectsRequest; }
+  /// Returns the time since which the caller has owed a request or the rest of
+  /// one; empty while a request is processed or the connection is closed.
+  std::optional<TimePoint> WaitingSince() const
+  {
+    return mAborted ? std::nullopt : mWaitingSince;
+  }
+  /// Called when the rest of the body is passed on while it arrives: the caller
+  /// no longer counts as one that is waited for.
+  void BeginStreaming() { mWaitingSince.reset(); }
+  /// Returns true if a request has been answered on this connection.
+  bool HasServed() const { return mHasServed; }
   /// Returns true if bytes of the next request have arrived.
   bool HasPendingInput();
   /// Makes an idle connection count as busy until its next request has been
@@ -133,6 +144,8 @@
   bool mContinueSent = false;
   bool mAnswered = false;
   bool mChunked = false;
+  std::optional<TimePoint> mWaitingSince;
+  bool mHasServed = false;
   bool mIdle = true;
   bool mExpectsRequest = false;
   bool mAborted = false;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "HttpServer.h"
 
 #include "Spawn.h"
+#include "SteadyTime.h"
 #include "TcpListen.h"
 
 #include <boost/asio/post.hpp>
@@ -20,6 +21,9 @@
 /// of a busy event loop would let the others wait in the queue of the listening
 /// socket until their callers have given up.
 constexpr int kMaxAcceptedAtOnce = 64;
+/// Time for which a connection waits for its caller at least before it is
+/// closed for another one.
+constexpr Duration kMinReplaceableWait = std::chrono::seconds(1);
 
 } // namespace
 
@@ -58,6 +62,9 @@
     if (ec == asio::error::operation_aborted) {
       co_return;
     }
+    if (isFull) {
+      ReplaceWaiting();
+    }
     if (ec || isFull) {
       // Retries after a delay, for instance if no file descriptor is free.
       asio::steady_timer timer(mExecutor, kAcceptRetryDelay);
@@ -95,6 +102,41 @@
   }
 }
 
+void HttpServer::ReplaceWaiting()
+{
+  ErrorCode ec;
+  mAcceptor.non_blocking(true, ec);
+  for (int n = 0; !ec && n < kMaxAcceptedAtOnce; ++n) {
+    const auto replaceable = FindReplaceable();
+    if (!replaceable) {
+      return;
+    }
+    tcp::socket socket(mExecutor);
+    mAcceptor.accept(socket, ec);
+    if (!ec) {
+      replaceable->Abort();
+      ++mReplacedConnections;
+      StartServing(std::move(socket));
+    }
+  }
+}
+
+std::shared_ptr<HttpConnection> HttpServer::FindReplaceable() const
+{
+  const TimePoint waitingSince = SteadyNow() - kMinReplaceableWait;
+  std::shared_ptr<HttpConnection> out;
+  const auto key = [](const HttpConnection& aConnection) {
+    return std::pair(aConnection.HasServed(), *aConnection.WaitingSince());
+  };
+  for (const auto& it : mConnections) {
+    const auto since = it->WaitingSince();
+    if (since && *since <= waitingSince && (!out || key(*it) < key(*out))) {
+      out = it;
+    }
+  }
+  return out;
+}
+
 Awaitable<void> HttpServer::Serve(std::shared_ptr<HttpConnection> aConnection)
 {
   for (;;) {
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -31,8 +31,13 @@
   /// one.
   void SetLimits(HttpLimits aLimits);
   /// Limits the open connections. Others wait in the queue of the listening
-  /// socket until one is closed.
+  /// socket until one is closed. For them, a connection is closed that has
+  /// waited long for its caller's next request or for the rest of it: one
+  /// without a complete request if there is any, otherwise the one that has
+  /// been idle for longest.
   void SetMaxConnections(size_t aCount) { mMaxConnections = aCount; }
+  /// Returns the number of connections that were closed for others.
+  uint64_t ReplacedConnections() const { return mReplacedConnections; }
   /// Continues to accept and serve connections, but closes each one after its
   /// next answer.
   void EndConnectionsAfterAnswers();
@@ -53,6 +58,10 @@
   void StartServing(tcp::socket aSocket);
   /// Accepts connections that the kernel has completed, without waiting.
   void AcceptPending(int aMaxConnections);
+  /// Accepts connections in place of others that wait for their callers.
+  void ReplaceWaiting();
+  /// Returns the connection to close for another one; null if there is none.
+  std::shared_ptr<HttpConnection> FindReplaceable() const;
   void CloseIdleConnections();
   Awaitable<void> Serve(std::shared_ptr<HttpConnection> aConnection);
 
@@ -63,6 +72,7 @@
   std::unordered_set<std::shared_ptr<HttpConnection>> mConnections;
   bool mEndingConnections = false;
   size_t mMaxConnections = std::numeric_limits<size_t>::max();
+  uint64_t mReplacedConnections = 0;
   bool mStopping = false;
   /// True until the idle connections of a stopping server are closed.
   bool mIsClosingIdle = false;
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace pollenway {
 
 namespace {
@@ -75,12 +77,29 @@
       continue;
     }
     auto link = std::make_shared<PeerLink>(std::move(socket), FrameHandler());
-    std::erase_if(mInbound, [](const auto& aIt) { return aIt.expired(); });
+    MakeRoomForLink();
     mInbound.push_back(link);
     link->Start();
   }
 }
 
+void PeerTransport::MakeRoomForLink()
+{
+  std::erase_if(mInbound, [](const auto& aLink) {
+    const auto link = aLink.lock();
+    return !link || !link->IsOpen();
+  });
+  while (!mInbound.empty() && mInbound.size() >= mMaxInboundLinks) {
+    const auto oldest = std::min_element(
+      mInbound.begin(), mInbound.end(), [](const auto& aA, const auto& aB) {
+        return aA.lock()->LastReceivedAt() < aB.lock()->LastReceivedAt();
+      });
+    oldest->lock()->Close();
+    ++mStatistics.mReplacedLinks;
+    mInbound.erase(oldest);
+  }
+}
+
 PeerMessage PeerTransport::MakeMessage(PeerBody aBody) const
 {
   PeerMessage message;
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -5,6 +5,7 @@
 #include "PeerLink.h"
 #include "PeerMessage.h"
 
+#include <limits>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -42,6 +43,10 @@
 
   Result<void> Listen(const std::string& aAddress, uint16_t aPort);
 
+  /// Limits the links from peers. Beyond it, the link is closed on which
+  /// nothing has arrived for longest.
+  void SetMaxInboundLinks(size_t aCount) { mMaxInboundLinks = aCount; }
+
   /// Sends a request and waits for its reply. Errors: PeerUnavailable if no
   /// reply arrives in time; the request may or may not have been handled.
   Awaitable<Result<PeerMessage>> Call(IpEndpoint aPeer,
@@ -94,6 +99,8 @@
   /// Called when the connection attempt has failed.
   void FailCalls(const IpEndpoint& aPeer);
   Awaitable<void> Accept();
+  /// Closes links from peers until there is room for another one.
+  void MakeRoomForLink();
   void OnFrame(const std::shared_ptr<PeerLink>& aLink, std::string aFrame);
   void OnReply(const std::shared_ptr<PeerLink>& aLink, PeerMessage aMessage);
   Awaitable<void> Serve(std::shared_ptr<PeerLink> aLink, PeerMessage aMessage);
@@ -106,6 +113,7 @@
   tcp::acceptor mAcceptor;
   std::map<IpEndpoint, OutboundLink> mLinks;
   std::vector<std::weak_ptr<PeerLink>> mInbound;
+  size_t mMaxInboundLinks = std::numeric_limits<size_t>::max();
   std::unordered_map<InstanceName, std::weak_ptr<PeerLink>> mLastLinks;
   std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> mPending;
   uint64_t mNextRequestId = kFirstCallId;
--- a/src/RequestContext.cpp
+++ b/src/RequestContext.cpp
@@ -13,6 +13,7 @@
 {
   const auto length = aRequest.mSource.BodyLength();
   if (!length || *length > kMaxBufferedBodyBytes) {
+    aRequest.mSource.BeginStreaming();
     co_return true;
   }
   auto body = co_await aRequest.mSource.ReadBody(kMaxBufferedBodyBytes);
--- a/test/correctness/HttpServer.cpp
+++ b/test/correctness/HttpServer.cpp
@@ -5,9 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
 #include <list>
+#include <string>
+#include <vector>
 
 using namespace pollenway;
 
@@ -98,3 +101,63 @@
     io.poll();
   }
 }
+
+// Guards against callers that wait for ever in the queue of the listening
+// socket because others keep all connections open and send nothing, and against
+// an idle caller that loses its connection while others have never sent a
+// request.
+TEST_CASE("a full server closes waiting connections for others")
+{
+  struct Row
+  {
+    bool mFirstIsServed;
+    bool mSecondIsServed;
+    /// Index of the connection that is closed for the third one.
+    size_t mClosed;
+  };
+  const Row rows[] = {
+    { false, false, 0 },
+    { true, false, 1 },
+    { false, true, 0 },
+    { true, true, 0 },
+  };
+  for (const auto& row : rows) {
+    CAPTURE(row.mFirstIsServed);
+    CAPTURE(row.mSecondIsServed);
+    asio::io_context io;
+    HttpServer server(io.get_executor(), {}, EchoBody);
+    server.SetMaxConnections(2);
+    REQUIRE(server.Listen("127.0.0.1", 0));
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                 server.Port());
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<tcp::socket> callers;
+    for (const bool isServed : { row.mFirstIsServed, row.mSecondIsServed }) {
+      callers.emplace_back(io).connect(endpoint);
+      if (isServed) {
+        asio::write(callers.back(), asio::buffer(request));
+      }
+      io.run_for(std::chrono::milliseconds(50));
+    }
+    CHECK(server.Connections() == 2);
+    // Only connections that have waited for a second are closed.
+    io.run_for(std::chrono::milliseconds(1200));
+    CHECK(server.ReplacedConnections() == 0);
+    callers.emplace_back(io).connect(endpoint);
+    asio::write(callers.back(), asio::buffer(request));
+    io.run_for(std::chrono::milliseconds(200));
+    CHECK(server.ReplacedConnections() == 1);
+    for (size_t n = 0; n < callers.size(); ++n) {
+      CAPTURE(n);
+      callers[n].non_blocking(true);
+      char buf[1024];
+      ErrorCode ec;
+      while (!ec) {
+        callers[n].read_some(asio::buffer(buf), ec);
+      }
+      CHECK((ec != asio::error::would_block) == (n == row.mClosed));
+    }
+    server.Abort();
+    io.poll();
+  }
+}
