Keep sockets free for targets

Callers saw: none of their requests was served while 300 callers sent requests and read no answers, nor for some seconds after these had left. Cause: each request in flight needs a second socket, for its target. With many requests in flight the descriptors ran out. A connection attempt that failed for that reason counted as a failure of its target, and several of them as the loss of all paths. Ruled out: the limit on callers' connections; 300 of 400 sockets were theirs, as intended, and the other 112 for targets were too many. Idle connections to targets are closed when a request needs the room, the longest idle first; if there is none, the request is refused with 503 at once. The pool counts its idle connections instead of adding them up for each answer. Why it works: connections to targets are no longer attempted without a descriptor for them, so no target is blamed for it.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -202,6 +202,23 @@
 {
   mPool.CloseExpired();
   mRelay.DropIdleConnections();
+  MakeRoomForSocket();
+}
+
+size_t GatewayFrontend::CountSockets() const
+{
+  return mServer.Connections() + mRelayListener.Server().Connections() +
+         mForwarding + mPool.IdleConnections() + mRelay.IdleConnections();
+}
+
+bool GatewayFrontend::MakeRoomForSocket()
+{
+  while (CountSockets() >= mSocketShares.mForwarding) {
+    if (!mPool.CloseOldestIdle() && !mRelay.CloseOldestIdle()) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void GatewayFrontend::DropConnections(const RegisteredTarget& aTarget)
@@ -381,13 +398,22 @@
       aConnection, *aRequest, admitted.error().mCode, admitted.error().mDetail);
     co_return;
   }
+  if (!MakeRoomForSocket()) {
+    co_await Refuse(aConnection,
+                    *aRequest,
+                    ResultCode::QueueFull,
+                    "no socket is free for a connection to a target");
+    co_return;
+  }
   aConnection.WatchDisconnect([aRequest] {
     aRequest->mCallerGone = true;
     if (aRequest->mExchange) {
       aRequest->mExchange->Cancel();
     }
   });
+  ++mForwarding;
   co_await Forward(aConnection, aRequest);
+  --mForwarding;
 }
 
 Result<void> GatewayFrontend::CheckRoute(const RequestHeader& aHeader,
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -129,6 +129,12 @@
   Result<void> Count(ForwardedRequest& aRequest);
   Awaitable<void> Forward(HttpConnection& aConnection,
                           std::shared_ptr<ForwardedRequest> aRequest);
+  /// Returns true if a connection to a target may be opened. Closes idle ones
+  /// if that makes room.
+  bool MakeRoomForSocket();
+  /// Returns the number of sockets in use for callers, relayed requests and
+  /// targets.
+  size_t CountSockets() const;
   /// Returns true if the next attempt must go through another instance: the
   /// own path is lost, or it may be and no target may get the request.
   bool NeedsPeer(const ForwardedRequest& aRequest);
@@ -180,6 +186,8 @@
   asio::any_io_executor mExecutor;
   State mState;
   SocketShares mSocketShares;
+  /// Requests that use a connection to a target or to another instance.
+  size_t mForwarding = 0;
   HttpServer mServer;
   HttpClientPool mPool;
   RelayListener mRelayListener;
--- a/src/HttpClientPool.cpp
+++ b/src/HttpClientPool.cpp
@@ -20,6 +20,7 @@
   while (!idle.empty()) {
     auto entry = std::move(idle.back());
     idle.pop_back();
+    --mIdleConnections;
     if (entry.mIdleSince > minIdleSince && !entry.mConnection->IsStale()) {
       entry.mConnection->SetIdleSince(entry.mIdleSince);
       co_return std::move(entry.mConnection);
@@ -46,6 +47,7 @@
       IdleConnections() >= mOptions.mMaxIdleInTotal) {
     return;
   }
+  ++mIdleConnections;
   // A connection on which nothing was written has not shown that it still
   // works.
   if (const auto since = aConnection->IdleSince()) {
@@ -57,7 +59,11 @@
 
 void HttpClientPool::CloseIdle(tcp::endpoint aEndpoint)
 {
-  mIdle.erase(aEndpoint);
+  const auto it = mIdle.find(aEndpoint);
+  if (it != mIdle.end()) {
+    mIdleConnections -= it->second.size();
+    mIdle.erase(it);
+  }
 }
 
 void HttpClientPool::CloseExpired()
@@ -67,19 +73,27 @@
   for (auto& [endpoint, idle] : mIdle) {
     while (!idle.empty() && idle.front().mIdleSince <= minIdleSince) {
       idle.pop_front();
+      --mIdleConnections;
     }
   }
   std::erase_if(mIdle,
                 [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
-size_t HttpClientPool::IdleConnections() const
+bool HttpClientPool::CloseOldestIdle()
 {
-  size_t out = 0;
-  for (const auto& [endpoint, idle] : mIdle) {
-    out += idle.size();
+  std::deque<IdleConnection>* oldest = nullptr;
+  for (auto& [endpoint, idle] : mIdle) {
+    if (!idle.empty() &&
+        (!oldest || idle.front().mIdleSince < oldest->front().mIdleSince)) {
+      oldest = &idle;
+    }
+  }
+  if (oldest) {
+    oldest->pop_front();
+    --mIdleConnections;
   }
-  return out;
+  return oldest != nullptr;
 }
 
 Awaitable<Result<TextResponse>> HttpClientPool::Exchange(
--- a/src/HttpClientPool.h
+++ b/src/HttpClientPool.h
@@ -44,7 +44,10 @@
   void CloseIdle(tcp::endpoint aEndpoint);
   /// Closes the connections that have been idle for longer than `mMaxIdleTime`.
   void CloseExpired();
-  size_t IdleConnections() const;
+  /// Closes the connection that has been idle for longest. Returns false if
+  /// there is none.
+  bool CloseOldestIdle();
+  size_t IdleConnections() const { return mIdleConnections; }
   Duration ConnectTimeout() const { return mOptions.mConnectTimeout; }
 
   /// Performs one complete exchange. Errors: MessageTooLarge if the answer's
@@ -64,6 +67,8 @@
   asio::any_io_executor mExecutor;
   HttpClientPoolOptions mOptions;
   std::map<tcp::endpoint, std::deque<IdleConnection>> mIdle;
+  /// Number of connections in `mIdle`.
+  size_t mIdleConnections = 0;
 };
 
 } // namespace pollenway
--- a/src/RequestRelay.h
+++ b/src/RequestRelay.h
@@ -99,6 +99,10 @@
                 TimePoint aNow);
 
   void DropIdleConnections() { mPool.CloseExpired(); }
+  /// Closes the connection that has been idle for longest. Returns false if
+  /// there is none.
+  bool CloseOldestIdle() { return mPool.CloseOldestIdle(); }
+  size_t IdleConnections() const { return mPool.IdleConnections(); }
   /// Number of attempts through other instances by result.
   const std::map<std::string, uint64_t>& Results() const { return mResults; }
 
--- a/test/platform/HttpClientPool.cpp
+++ b/test/platform/HttpClientPool.cpp
@@ -39,6 +39,41 @@
   });
 }
 
+// Guards against idle connections to targets that keep the sockets which a
+// request needs, and against a wrong number of them afterwards.
+TEST_CASE("idle connections are closed one by one, the oldest first")
+{
+  asio::io_context io;
+  std::vector<std::unique_ptr<TargetStandIn>> targets;
+  HttpClientPool pool(io.get_executor(), {});
+  RunCoroutine(io, [&]() -> Awaitable<void> {
+    std::vector<tcp::endpoint> endpoints;
+    for (int n = 0; n < 3; ++n) {
+      targets.push_back(std::make_unique<TargetStandIn>(io.get_executor()));
+      REQUIRE(targets.back()->Listen());
+      endpoints.emplace_back(asio::ip::make_address("127.0.0.1"),
+                             targets.back()->Port());
+      TextRequest request(http::verb::get, "/", 11);
+      auto answer =
+        co_await pool.Exchange(endpoints.back(), std::move(request), 1s, 4096);
+      CHECK(answer);
+    }
+    CHECK(pool.CloseOldestIdle());
+    CHECK(pool.IdleConnections() == 2);
+    // The oldest one was that to the first target.
+    pool.CloseIdle(endpoints[0]);
+    CHECK(pool.IdleConnections() == 2);
+    pool.CloseIdle(endpoints[1]);
+    CHECK(pool.IdleConnections() == 1);
+    CHECK(pool.CloseOldestIdle());
+    CHECK_FALSE(pool.CloseOldestIdle());
+    CHECK(pool.IdleConnections() == 0);
+    for (const auto& it : targets) {
+      it->Server().Abort();
+    }
+  });
+}
+
 // Guards against a request that must not be repeated on a connection that has
 // been idle for long, because another request had taken it and given it back
 // without using it.
