Limit the memory of answers that callers don't read

Callers saw: the process ran out of memory. Cause: up to 256 KiB of each answer are read before its caller gets any of it, so that a broken answer can be replaced. That part was copied once more to be written and kept until the end of the answer. Nothing limited the sum over the callers that don't read. Change: these first parts share an eighth of the memory. If it is used up, an answer is passed on as it arrives; its first 8 KiB need no share, so that plain answers are read as a whole as before. The part is written from where it is, and freed before the rest is read through a buffer of 16 KiB. Why it works: what an unread answer holds is counted, or small.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -61,6 +61,10 @@
 /// One body at a time may use this part of the memory beside the others: the
 /// largest one that the operators allow (64 MiB) on their first machines.
 constexpr double kSingleBodyFraction = 0.375;
+/// The first parts of answers may use the memory divided by this number.
+constexpr uint64_t kAnswerMemoryDivisor = 8;
+/// Size of one read of an answer that is passed on while it arrives.
+constexpr size_t kAnswerReadBytes = 16 * 1024;
 /// Bodies of at least this size are expensive to transfer between zones.
 constexpr size_t kLargeBodyBytes = 16 * 1024;
 
@@ -163,6 +167,7 @@
       { .mSharedBytes = aState.mSettings.mMemoryBytes / kBodyMemoryDivisor,
         .mMaxSingleBytes = uint64_t(kSingleBodyFraction *
                                     double(aState.mSettings.mMemoryBytes)) })
+  , mAnswerMemory(aState.mSettings.mMemoryBytes / kAnswerMemoryDivisor)
   , mRanking(aState.mSettings.mZone, aState.mSettings.mRegion)
   , mAnnouncements(HashOf({ aState.mSettings.mName.Text(), "announcements" }) ^
                    uint64_t(SteadyNow().time_since_epoch().count()))
@@ -759,6 +764,7 @@
   mLog.OnSelected(aRequest);
   TargetExchange exchange(
     mPool, mState.mPlatform, mState.mReachability, mAnnouncements, target);
+  exchange.LimitMemory(mAnswerMemory);
   aRequest.mExchange = &exchange;
   const TimePoint sentAt = SteadyNow();
   aRequest.mSentAt = sentAt;
@@ -832,6 +838,7 @@
   aRequest.mTriedPeers.push_back(*peer);
   RequestRelay::Attempt attempt(mRelay, *peer);
   TargetExchange exchange = attempt.MakeExchange(mState.mPlatform);
+  exchange.LimitMemory(mAnswerMemory);
   aRequest.mExchange = &exchange;
   const TimePoint sentAt = SteadyNow();
   const bool isRepeatable =
@@ -949,13 +956,14 @@
     co_return;
   }
   ErrorCode ec = co_await aConnection.WriteHeader(std::move(aAnswer.mHeader));
-  std::vector<char> buf(aAnswer.mBody.begin(), aAnswer.mBody.end());
-  size_t n = buf.size();
-  while (!ec && n > 0) {
-    ec = co_await aConnection.WriteSome(buf.data(), n);
-    if (ec) {
-      break;
-    }
+  if (!ec) {
+    ec = co_await aConnection.WriteSome(aAnswer.mBody.data(),
+                                        aAnswer.mBody.size());
+  }
+  std::string().swap(aAnswer.mBody);
+  aAnswer.mBodyMemory = {};
+  std::vector<char> buf(kAnswerReadBytes);
+  while (!ec) {
     auto more = co_await aExchange.ReadMore(
       buf.data(), buf.size(), aRequest.mAnswerDeadline + kAnswerGrace);
     if (!more) {
@@ -965,7 +973,10 @@
       LogEnd(aRequest, ResultCode::AnswerIncomplete, more.error().mDetail);
       co_return;
     }
-    n = more.value();
+    if (more.value() == 0) {
+      break;
+    }
+    ec = co_await aConnection.WriteSome(buf.data(), more.value());
   }
   if (!ec) {
     ec = co_await aConnection.FinishAnswer();
--- a/src/GatewayFrontend.h
+++ b/src/GatewayFrontend.h
@@ -193,6 +193,7 @@
   RelayListener mRelayListener;
   RequestRelay mRelay;
   BodyMemory mBodyMemory;
+  ByteBudget mAnswerMemory;
   RequestLog mLog;
   TargetRanking mRanking;
   TargetAnnouncements mAnnouncements;
--- a/src/TargetExchange.cpp
+++ b/src/TargetExchange.cpp
@@ -4,6 +4,8 @@
 #include "SteadyTime.h"
 #include "TargetAnnouncements.h"
 
+#include <algorithm>
+
 namespace pollenway {
 
 namespace {
@@ -11,6 +13,9 @@
 /// Answers up to this size are read completely before the caller receives any
 /// part, so that a truncated one can be replaced by another target's.
 constexpr size_t kBufferedAnswerBytes = 256 * 1024;
+/// Size of one read of an answer's body. Answers up to this size need no
+/// reserved memory.
+constexpr size_t kReadBytes = 8 * 1024;
 /// Maximum number of late answers to earlier requests that are skipped on one
 /// connection.
 constexpr int kMaxMismatchedAnswers = 3;
@@ -188,7 +193,7 @@
 
 Awaitable<bool> TargetExchange::SkipBody(TimePoint aDeadline)
 {
-  char buf[8 * 1024];
+  char buf[kReadBytes];
   for (;;) {
     auto n = co_await ReadMore(buf, sizeof(buf), aDeadline);
     if (!n) {
@@ -207,9 +212,10 @@
     Fail(aAnswer, AttemptFailure::AnswerCut, "the answer is not the target's");
     co_return;
   }
-  char buf[8 * 1024];
+  char buf[kReadBytes];
   for (;;) {
-    if (aAnswer.mBody.size() >= kBufferedAnswerBytes) {
+    if (aAnswer.mBody.size() >= kBufferedAnswerBytes ||
+        !ReserveMemory(aAnswer, sizeof(buf))) {
       aAnswer.mHasMore = true;
       co_return;
     }
@@ -228,6 +234,21 @@
   }
 }
 
+bool TargetExchange::ReserveMemory(TargetAnswer& aAnswer, size_t aBytes) const
+{
+  auto& body = aAnswer.mBody;
+  const size_t size = body.size() + aBytes;
+  if (!mMemory || body.empty() || size <= body.capacity()) {
+    return true;
+  }
+  const size_t capacity = std::max(size, 2 * body.capacity());
+  if (!mMemory->Resize(aAnswer.mBodyMemory, capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 bool TargetExchange::IsValidAnswer(const TargetAnswer& aAnswer) const
 {
   const auto& fields = mPlatform.Fields();
--- a/src/TargetExchange.h
+++ b/src/TargetExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "HttpClientPool.h"
 #include "PlatformAdapter.h"
 #include "RetryPolicy.h"
@@ -25,6 +26,8 @@
   ResponseHeader mHeader;
   /// The first part of the body; the whole body unless `mHasMore`.
   std::string mBody;
+  /// Memory of `mBody`.
+  ByteBudget::Reservation mBodyMemory;
   bool mHasMore = false;
   std::string mDetail;
 };
@@ -65,6 +68,9 @@
   Awaitable<Result<size_t>> ReadMore(char* aData,
                                      size_t aSize,
                                      TimePoint aDeadline);
+  /// Limits the memory of the answer's first part. If `aMemory` is used up, the
+  /// part is shorter. Call before `Run`.
+  void LimitMemory(ByteBudget& aMemory) { mMemory = &aMemory; }
   /// Cancels the attempt and closes its connection to the target.
   void Cancel();
   bool IsCancelled() const { return mCancelled; }
@@ -82,6 +88,9 @@
     TargetAnswer& aAnswer);
   Awaitable<bool> SkipBody(TimePoint aDeadline);
   Awaitable<void> ReadBody(TimePoint aDeadline, TargetAnswer& aAnswer);
+  /// Makes room for `aBytes` more of the answer's body. Returns false if the
+  /// memory is used up.
+  bool ReserveMemory(TargetAnswer& aAnswer, size_t aBytes) const;
   bool IsValidAnswer(const TargetAnswer& aAnswer) const;
   /// Records what the target announces in the head of its answer.
   void ReadAnnouncements(const ResponseHeader& aHeader);
@@ -91,6 +100,7 @@
 
   HttpClientPool& mPool;
   const PlatformAdapter& mPlatform;
+  ByteBudget* mMemory = nullptr;
   /// Both are null, as `mTarget` is, if another instance chooses the target.
   TargetReachability* mReachability = nullptr;
   TargetAnnouncements* mAnnouncements = nullptr;
