Limit the memory of long headers

Callers saw: the process ran out of memory. Cause: a header of 16 KiB may have 4,000 short fields, which take several hundred KiB once they are parsed. The parser had one copy, the request another, for as long as the caller held back its body. Trailers became fields, too. Ruled out: a long header of one field (17 MiB with 150 callers). Change: HttpConnection takes the header out of the parser and counts what it and its copies take. Beyond 8 KiB, that is reserved from a budget of the port; if it is used up, the request is refused with 503 and the header freed at once. Fields of trailers are freed as soon as the body is complete; nothing used them. Plain headers reserve nothing, so that a crowd with long ones doesn't keep other callers away. Why it works: the parsed size is counted, not the length on the wire.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -61,6 +61,9 @@
 /// One body at a time may use this part of the memory beside the others: the
 /// largest one that the operators allow (64 MiB) on their first machines.
 constexpr double kSingleBodyFraction = 0.375;
+/// Long headers of requests may use the memory divided by this number, at each
+/// of the ports for callers and relayed requests.
+constexpr uint64_t kHeaderMemoryDivisor = 32;
 /// The first parts of answers may use the memory divided by this number.
 constexpr uint64_t kAnswerMemoryDivisor = 8;
 /// Size of one read of an answer that is passed on while it arrives.
@@ -173,6 +176,9 @@
                    uint64_t(SteadyNow().time_since_epoch().count()))
   , mRandom(HashOf({ aState.mSettings.mName.Text(), "frontend" }))
 {
+  for (auto* it : { &mServer, &mRelayListener.Server() }) {
+    it->SetHeaderMemory(aState.mSettings.mMemoryBytes / kHeaderMemoryDivisor);
+  }
   mServer.SetMaxConnections(mSocketShares.mCallers);
   mRelayListener.Server().SetMaxConnections(mSocketShares.mRelayed);
   mAnnouncements.OnChange([this](const TargetAnnouncements::Change& aChange) {
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -18,12 +18,32 @@
 constexpr size_t kMaxUnreadBodyBytes = 1024 * 1024;
 /// Size of one read beyond the current request.
 constexpr size_t kReadAheadBytes = 4096;
+/// Memory of a field beside its name and value.
+constexpr uint64_t kFieldBytes = 96;
+/// Number of copies of a header while its request is passed on: of the
+/// connection, of the request, and of the attempt at a target.
+constexpr uint64_t kHeaderCopies = 3;
+/// Headers up to this size need no reserved memory.
+constexpr uint64_t kUnreservedHeaderBytes = 8 * 1024;
+
+/// Returns the memory that a header takes while its request is in flight.
+uint64_t HeaderMemory(const RequestHeader& aHeader)
+{
+  uint64_t out = aHeader.target().size();
+  for (const auto& it : aHeader) {
+    out += kFieldBytes + it.name_string().size() + it.value().size();
+  }
+  return out * kHeaderCopies;
+}
 
 } // namespace
 
-HttpConnection::HttpConnection(tcp::socket aSocket, HttpLimits aLimits)
+HttpConnection::HttpConnection(tcp::socket aSocket,
+                               HttpLimits aLimits,
+                               std::shared_ptr<ByteBudget> aHeaderMemory)
   : mStream(std::move(aSocket))
   , mLimits(aLimits)
+  , mHeaderMemory(std::move(aHeaderMemory))
 {
   ErrorCode ec;
   mStream.socket().set_option(tcp::no_delay(true), ec);
@@ -37,6 +57,8 @@
   mContinueSent = false;
   mIdle = true;
   mWaitingSince = SteadyNow();
+  mHeader = {};
+  mReservedHeader = {};
   mParser.emplace();
   mParser->body_limit(std::numeric_limits<uint64_t>::max());
   ErrorCode ec;
@@ -66,14 +88,40 @@
     std::max(mBuffer.size(), mLimits.mHeaderBytes + kReadAheadBytes));
   mStream.expires_after(mLimits.mHeaderTimeout);
   co_await http::async_read_header(mStream, mBuffer, *mParser, Into(ec));
-  if (!ec) {
-    if (mParser->is_done()) {
-      mWaitingSince.reset();
-    }
-    co_return true;
+  if (ec) {
+    co_await RefuseHeader(ec);
+    co_return false;
+  }
+  const bool isTaken = TakeHeader();
+  if (!isTaken) {
+    co_await WriteRefusal(http::status::service_unavailable,
+                          ResultCode::QueueFull,
+                          "the memory for request headers is used up");
+  }
+  co_return isTaken;
+}
+
+bool HttpConnection::TakeHeader()
+{
+  mIsKeepAlive = mParser->get().keep_alive();
+  mHeader = std::move(mParser->get().base());
+  if (mParser->is_done()) {
+    EndRequest();
+  }
+  const uint64_t size = HeaderMemory(mHeader);
+  if (size <= kUnreservedHeaderBytes || !mHeaderMemory ||
+      mHeaderMemory->Resize(mReservedHeader, size)) {
+    return true;
   }
-  co_await RefuseHeader(ec);
-  co_return false;
+  mHeader = {};
+  return false;
+}
+
+void HttpConnection::EndRequest()
+{
+  mWaitingSince.reset();
+  // Trailers are not used.
+  mParser->get().base().clear();
 }
 
 bool HttpConnection::HasPendingInput()
@@ -106,22 +154,29 @@
   if (status == http::status::unknown || !mStream.socket().is_open()) {
     co_return;
   }
-  TextResponse answer(status, 11);
+  co_await WriteRefusal(status, code, aError.message());
+}
+
+Awaitable<void> HttpConnection::WriteRefusal(http::status aStatus,
+                                             ResultCode aCode,
+                                             std::string aDetail)
+{
+  TextResponse answer(aStatus, 11);
   answer.set("Pollenway-Outcome", std::string(Name(Outcome::NotRun)));
-  answer.set("Pollenway-Code", std::to_string(int(code)));
-  answer.body() = "request header refused: " + aError.message() + "\n";
+  answer.set("Pollenway-Code", std::to_string(int(aCode)));
+  answer.body() = "request header refused: " + aDetail + "\n";
   CloseAfterAnswer();
   co_await Write(std::move(answer));
 }
 
 const RequestHeader& HttpConnection::Header() const
 {
-  return mParser->get().base();
+  return mHeader;
 }
 
 bool HttpConnection::IsKeepAlive() const
 {
-  return mParser->get().keep_alive() && !mCloseAfterAnswer;
+  return mIsKeepAlive && !mCloseAfterAnswer;
 }
 
 std::optional<uint64_t> HttpConnection::BodyLength() const
@@ -155,9 +210,6 @@
 {
   auto& body = mParser->get().body();
   ErrorCode ec = co_await SendContinue();
-  if (mParser->is_done()) {
-    mWaitingSince.reset();
-  }
   while (!mParser->is_done()) {
     body.data = aData;
     body.size = aSize;
@@ -175,7 +227,7 @@
                        {} };
     }
     if (mParser->is_done()) {
-      mWaitingSince.reset();
+      EndRequest();
     }
     const size_t n = aSize - body.size;
     if (n > 0) {
@@ -282,7 +334,7 @@
   aResponse.content_length(aResponse.body().size());
   ErrorCode ec;
   mStream.expires_after(mLimits.mIdleTimeout);
-  if (mParser && mParser->get().method() == http::verb::head) {
+  if (mHeader.method() == http::verb::head) {
     http::response_serializer<http::string_body> serializer(aResponse);
     co_await http::async_write_header(mStream, serializer, Into(ec));
   } else {
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "HttpTypes.h"
 #include "Result.h"
 #include "Time.h"
@@ -29,12 +30,16 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection>
 {
 public:
-  HttpConnection(tcp::socket aSocket, HttpLimits aLimits);
+  /// `aHeaderMemory` limits the memory of long headers over all connections
+  /// that share it; null for no limit.
+  HttpConnection(tcp::socket aSocket,
+                 HttpLimits aLimits,
+                 std::shared_ptr<ByteBudget> aHeaderMemory = nullptr);
 
   /// Reads the next request's header. Returns false if the peer closed the
   /// connection or sent nothing for the keep-alive time. Also answers and
-  /// returns false for a header that is malformed (400), too long (431) or not
-  /// complete in time (408).
+  /// returns false for a header that is malformed (400), too long (431), not
+  /// complete in time (408), or one for which there is no memory (503).
   Awaitable<bool> ReadHeader();
   const RequestHeader& Header() const;
   bool IsKeepAlive() const;
@@ -122,6 +127,14 @@
   using Parser = http::request_parser<http::buffer_body>;
 
   Awaitable<void> RefuseHeader(ErrorCode aError);
+  Awaitable<void> WriteRefusal(http::status aStatus,
+                               ResultCode aCode,
+                               std::string aDetail);
+  /// Takes the header from the parser. Returns false if there is no memory for
+  /// it.
+  bool TakeHeader();
+  /// Called when the whole request has been read.
+  void EndRequest();
   void PrepareAnswer(ResponseHeader& aHeader);
   /// Writes all bytes. Fails if none can be written for the idle time.
   template<typename Buffers>
@@ -138,6 +151,12 @@
   HttpLimits mLimits;
   tcp::endpoint mPeer;
   std::optional<Parser> mParser;
+  /// The header of the current request. It is kept apart from the parser, which
+  /// adds the trailers to its own.
+  RequestHeader mHeader;
+  bool mIsKeepAlive = false;
+  std::shared_ptr<ByteBudget> mHeaderMemory;
+  ByteBudget::Reservation mReservedHeader;
   std::function<void()> mOnDisconnect;
   bool mWatching = false;
   bool mPeerClosed = false;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -78,8 +78,8 @@
 
 void HttpServer::StartServing(tcp::socket aSocket)
 {
-  auto connection =
-    std::make_shared<HttpConnection>(std::move(aSocket), mLimits);
+  auto connection = std::make_shared<HttpConnection>(
+    std::move(aSocket), mLimits, mHeaderMemory);
   if (mStopping) {
     connection->ExpectRequest(kFirstRequestTime);
   }
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -36,6 +36,11 @@
   /// without a complete request if there is any, otherwise the one that has
   /// been idle for longest.
   void SetMaxConnections(size_t aCount) { mMaxConnections = aCount; }
+  /// Limits the memory of the long headers of requests in flight.
+  void SetHeaderMemory(uint64_t aBytes)
+  {
+    mHeaderMemory = std::make_shared<ByteBudget>(aBytes);
+  }
   /// Returns the number of connections that were closed for others.
   uint64_t ReplacedConnections() const { return mReplacedConnections; }
   /// Continues to accept and serve connections, but closes each one after its
@@ -54,6 +59,8 @@
   size_t Connections() const { return mConnections.size(); }
 
 private:
+  static constexpr uint64_t kDefaultHeaderMemory = 8 * 1024 * 1024;
+
   Awaitable<void> Accept();
   void StartServing(tcp::socket aSocket);
   /// Accepts connections that the kernel has completed, without waiting.
@@ -73,6 +80,9 @@
   bool mEndingConnections = false;
   size_t mMaxConnections = std::numeric_limits<size_t>::max();
   uint64_t mReplacedConnections = 0;
+  /// Shared with the connections, which may outlive this object.
+  std::shared_ptr<ByteBudget> mHeaderMemory =
+    std::make_shared<ByteBudget>(kDefaultHeaderMemory);
   bool mStopping = false;
   /// True until the idle connections of a stopping server are closed.
   bool mIsClosingIdle = false;
