Limit the memory of partial messages between instances

Seen: 150 connections to the port for messages that send a frame of 1 MiB but its last byte make the process run out of memory. Cause: each link buffers one frame of up to 1 MiB; the sum over the links had no limit, and a buffer kept its size after its frame was done. Change: the links from other instances share a sixteenth of the memory for partial frames of more than 64 KiB. A link that finds none left is closed; its instance opens another one. A large buffer that has become empty is freed.

--- a/src/FrameDecoder.cpp
+++ b/src/FrameDecoder.cpp
@@ -4,6 +4,13 @@
 
 namespace pollenway {
 
+namespace {
+
+/// Capacity that the buffer keeps when it has become empty.
+constexpr size_t kMaxKeptBytes = 64 * 1024;
+
+} // namespace
+
 void FrameDecoder::Feed(std::string_view aBytes)
 {
   // Moves the remaining bytes to the front only here, so that a burst of small
@@ -13,6 +20,14 @@
   mBuffer.append(aBytes);
 }
 
+void FrameDecoder::ReleaseUnused()
+{
+  if (Buffered() == 0 && mBuffer.capacity() > kMaxKeptBytes) {
+    std::string().swap(mBuffer);
+    mStart = 0;
+  }
+}
+
 Result<std::optional<std::string>> FrameDecoder::Next()
 {
   if (Buffered() < 4) {
--- a/src/FrameDecoder.h
+++ b/src/FrameDecoder.h
@@ -24,6 +24,10 @@
   /// too, and the connection must be closed.
   Result<std::optional<std::string>> Next();
 
+  /// Frees a large buffer that has become empty.
+  void ReleaseUnused();
+  /// Returns the memory that the buffer takes.
+  size_t Capacity() const { return mBuffer.capacity(); }
   /// Returns the number of buffered bytes that belong to no frame returned yet.
   size_t Buffered() const { return mBuffer.size() - mStart; }
 
--- a/src/GatewayServer.cpp
+++ b/src/GatewayServer.cpp
@@ -48,6 +48,9 @@
 /// Maximum time from the loss of the paths to all targets until it is noticed:
 /// connections without a path are lost 2.5 s after data was sent at the latest.
 constexpr Duration kPathLossDetectionTime = 3s;
+/// Frames from other instances that have arrived in part may use the memory
+/// divided by this number.
+constexpr uint64_t kFrameMemoryDivisor = 16;
 /// Time after the start in which an instance is expected to become ready.
 constexpr Duration kStartingTime = 5s;
 
@@ -215,6 +218,7 @@
 {
   const SocketShares shares(mSettings.mMaxSockets);
   mPeers.SetMaxInboundLinks(shares.mPeers);
+  mPeers.SetFrameMemory(mSettings.mMemoryBytes / kFrameMemoryDivisor);
   mStatus.SetMaxConnections(shares.mStatus);
   const auto& names = mPlatform.Names();
   RelayFeed(names.mConfigurationKind, mConfigurationFeed);
--- a/src/PeerLink.cpp
+++ b/src/PeerLink.cpp
@@ -15,6 +15,8 @@
 /// queue would exceed this.
 constexpr size_t kMaxQueuedBytes = 8 * 1024 * 1024;
 constexpr size_t kReadBytes = 32 * 1024;
+/// Partial frames up to this size need no reserved memory.
+constexpr size_t kUnreservedFrameBytes = 64 * 1024;
 
 } // namespace
 
@@ -82,10 +84,27 @@
       }
       mHandler(self, std::move(*next.value()));
     }
+    mDecoder.ReleaseUnused();
+    if (!ReserveFrameMemory()) {
+      Log(LogLevel::Warn,
+          "peer_frame_refused",
+          { { "detail", "the memory for frames is used up" } });
+      break;
+    }
   }
   Close();
 }
 
+bool PeerLink::ReserveFrameMemory()
+{
+  const size_t size = mDecoder.Capacity();
+  if (!mFrameMemory || size <= kUnreservedFrameBytes) {
+    mReservedFrame = {};
+    return true;
+  }
+  return mFrameMemory->Resize(mReservedFrame, size);
+}
+
 bool PeerLink::Send(std::string aFrame)
 {
   if (mClosed) {
--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ByteBudget.h"
 #include "FrameDecoder.h"
 #include "HttpTypes.h"
 #include "Time.h"
@@ -27,6 +28,13 @@
   /// Starts to read frames until the connection ends. Call once after
   /// connecting.
   void Start();
+  /// Limits the memory of long frames that have arrived in part, over all links
+  /// with the same budget. A link for which there is none left is closed. Call
+  /// before `Start`.
+  void LimitFrameMemory(std::shared_ptr<ByteBudget> aMemory)
+  {
+    mFrameMemory = std::move(aMemory);
+  }
   /// Queues a frame that starts with its length field. Returns false, without
   /// sending it, if the link is closed or the queue is full; a full queue
   /// closes the link.
@@ -39,10 +47,14 @@
 private:
   Awaitable<void> ReadLoop();
   Awaitable<void> WriteLoop();
+  /// Returns false if there is no memory for what has arrived.
+  bool ReserveFrameMemory();
 
   tcp::socket mSocket;
   FrameHandler mHandler;
   FrameDecoder mDecoder;
+  std::shared_ptr<ByteBudget> mFrameMemory;
+  ByteBudget::Reservation mReservedFrame;
   std::deque<std::string> mQueue;
   size_t mQueuedBytes = 0;
   TimePoint mLastReceivedAt{};
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -77,6 +77,7 @@
       continue;
     }
     auto link = std::make_shared<PeerLink>(std::move(socket), FrameHandler());
+    link->LimitFrameMemory(mFrameMemory);
     MakeRoomForLink();
     mInbound.push_back(link);
     link->Start();
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -46,6 +46,12 @@
   /// Limits the links from peers. Beyond it, the link is closed on which
   /// nothing has arrived for longest.
   void SetMaxInboundLinks(size_t aCount) { mMaxInboundLinks = aCount; }
+  /// Limits the memory of long frames that have arrived in part on links from
+  /// peers. Beyond it, the link is closed.
+  void SetFrameMemory(uint64_t aBytes)
+  {
+    mFrameMemory = std::make_shared<ByteBudget>(aBytes);
+  }
 
   /// Sends a request and waits for its reply. Errors: PeerUnavailable if no
   /// reply arrives in time; the request may or may not have been handled.
@@ -82,6 +88,7 @@
 private:
   /// First request id of calls. Lower ids belong to messages of `SendMessage`.
   static constexpr uint64_t kFirstCallId = uint64_t(1) << 62;
+  static constexpr uint64_t kDefaultFrameMemory = 16 * 1024 * 1024;
 
   struct PendingCall;
   struct OutboundLink
@@ -113,6 +120,8 @@
   tcp::acceptor mAcceptor;
   std::map<IpEndpoint, OutboundLink> mLinks;
   std::vector<std::weak_ptr<PeerLink>> mInbound;
+  std::shared_ptr<ByteBudget> mFrameMemory =
+    std::make_shared<ByteBudget>(kDefaultFrameMemory);
   size_t mMaxInboundLinks = std::numeric_limits<size_t>::max();
   std::unordered_map<InstanceName, std::weak_ptr<PeerLink>> mLastLinks;
   std::unordered_map<uint64_t, std::shared_ptr<PendingCall>> mPending;
--- a/test/error/PeerMessageBytes.cpp
+++ b/test/error/PeerMessageBytes.cpp
@@ -130,6 +130,10 @@
   CHECK(!atLimit.Next().value());
   atLimit.Feed(std::string(kMaxPeerFrame, 'x'));
   CHECK(atLimit.Next().value()->size() == kMaxPeerFrame);
+  CHECK(atLimit.Capacity() >= kMaxPeerFrame);
+  atLimit.ReleaseUnused();
+  CHECK(atLimit.Capacity() < kMaxPeerFrame);
+  CHECK_FALSE(atLimit.Next().value());
 
   auto large = PeerSamples()[0];
   large.mBody = peer::Configuration{ 1, std::string(kMaxPeerFrame, 'x') };
