Use Beast's span body for shared requests

Cause: the linter refuses the names that Beast wants from a body type of one's own. Change: SharedRequest is a request with Beast's span body that owns the string. No change of behaviour.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -641,7 +641,7 @@
   out->set(fields.mTargetName, aTarget.Record().mName.Text());
   out->set(fields.mDeadline,
            mState.mPlatform.WriteDeadline(aRequest.mDeadline - SteadyNow()));
-  out->body() = aRequest.mBody;
+  out->SetBody(aRequest.mBody);
   if (!aRequest.mBody->empty() || out->method() == http::verb::post ||
       out->method() == http::verb::put) {
     out->content_length(aRequest.mBody->size());
--- a/src/HttpClientConnection.h
+++ b/src/HttpClientConnection.h
@@ -2,6 +2,7 @@
 
 #include "HttpTypes.h"
 #include "Result.h"
+#include "SharedRequest.h"
 #include "Time.h"
 
 #include <chrono>
--- a/src/HttpTypes.h
+++ b/src/HttpTypes.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "SharedTextBody.h"
-
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -27,9 +25,6 @@
 using ResponseHeader = http::response_header<http::fields>;
 using TextResponse = http::response<http::string_body>;
 using TextRequest = http::request<http::string_body>;
-/// A request whose body is shared, so that an attempt at a target takes no copy
-/// of it.
-using SharedRequest = http::request<SharedTextBody>;
 
 /// Returns a completion token that stores the error in `aError` instead of
 /// throwing it.
--- a/src/RequestRelay.cpp
+++ b/src/RequestRelay.cpp
@@ -162,7 +162,7 @@
   out->set(header::kRelayAttempts, std::to_string(aAttemptsLeft));
   out->set(aPlatform.Fields().mDeadline,
            aPlatform.WriteDeadline(aRequest.mDeadline - SteadyNow()));
-  out->body() = aRequest.mBody;
+  out->SetBody(aRequest.mBody);
   out->content_length(aRequest.mBody->size());
   return out;
 }
