--- a/test/platform/RawTargetFixture.h
+++ b/test/platform/RawTargetFixture.h
@@ -19,9 +19,11 @@
 /// Runs a test against a gateway whose only target is a `RawTarget`.
 inline void RunWithRawTarget(
   RawTarget::Script aScript,
-  const std::function<Awaitable<void>(GatewayFixture&, RawTarget&)>& aTest)
+  const std::function<Awaitable<void>(GatewayFixture&, RawTarget&)>& aTest,
+  uint64_t aMemoryBytes = GatewaySettings().mMemoryBytes)
 {
   GatewayFixture fixture(0);
+  fixture.mSettings.mMemoryBytes = aMemoryBytes;
   RawTarget target(fixture.mIo.get_executor(), std::move(aScript));
   fixture.mStoreServer.Set("config", "main", fixture.Configuration("00000005"));
   fixture.mStoreServer.Set(
