--- a/test/correctness/BodyMemory.cpp
+++ b/test/correctness/BodyMemory.cpp
@@ -7,8 +7,8 @@
 
 using namespace pollenway;
 
-// Guards against bodies that take more memory than the limits allow, and against
-// a large body that is refused although it is the only one.
+// Guards against bodies that take more memory than the limits allow, and
+// against a large body that is refused although it is the only one.
 TEST_CASE("one body that does not fit the shared budget has one of its own")
 {
   struct Row
