Give a request's body the time of the request

Callers saw: their uploads were refused with 503 while a few others sent bodies byte by byte. Cause: the time-out of a body is for a pause, and each byte renewed it. 40 bodies of 1 MiB that come byte by byte keep the memory for bodies reserved for hours. Change: a body must be complete at the deadline of its request, since the request can't be served after it; it is refused with 504 (not run), as one that waited too long. The body of a refused request has the configuration's time for a header. Why it works: the reservation ends with the request. SlowConnections and LargeBody pass as before.

--- a/src/GatewayFrontend.cpp
+++ b/src/GatewayFrontend.cpp
@@ -486,6 +486,7 @@
                                                   ForwardedRequest& aRequest)
 {
   auto& memory = aRequest.mIsRelayed ? mRelayListener.Bodies() : mBodyMemory;
+  aConnection.SetBodyDeadline(aRequest.mAnswerDeadline);
   auto body =
     co_await aConnection.ReadBody(MaxBodyBytes(aRequest), [&](uint64_t aBytes) {
       return memory.Resize(aRequest.mBodyMemory, aBytes);
@@ -505,6 +506,8 @@
     checked = CheckRelayed(aRequest);
   }
   if (!checked) {
+    const auto limits = mTable ? mTable->Limits() : CallerLimits();
+    aConnection.SetBodyDeadline(SteadyNow() + limits.mHeaderTimeout);
     co_await aConnection.SkipBody(MaxBodyBytes(aRequest));
     co_return checked.error();
   }
--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -57,6 +57,7 @@
   mContinueSent = false;
   mIdle = true;
   mWaitingSince = SteadyNow();
+  mBodyDeadline = TimePoint::max();
   mHeader = {};
   mReservedHeader = {};
   mParser.emplace();
@@ -214,8 +215,15 @@
     body.data = aData;
     body.size = aSize;
     ec = {};
-    mStream.expires_after(mLimits.mIdleTimeout);
+    // The time-out is for a pause; a body may come slowly without one.
+    mStream.expires_after(
+      std::min(mLimits.mIdleTimeout, mBodyDeadline - SteadyNow()));
     co_await http::async_read_some(mStream, mBuffer, *mParser, Into(ec));
+    if (!mParser->is_done() && SteadyNow() >= mBodyDeadline) {
+      co_return Error{ ResultCode::DeadlineBeforeStart,
+                       "the body is not complete at the request's deadline",
+                       {} };
+    }
     if (ec == http::error::buffer_overflow) {
       co_return Error{ ResultCode::TooLarge,
                        "a chunk's header or the trailers are too long",
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -50,8 +50,11 @@
 
   /// Sends "100 Continue" once if the caller waits for it.
   Awaitable<ErrorCode> SendContinue();
+  /// Sets the time until which the current request's body must be complete.
+  void SetBodyDeadline(TimePoint aDeadline) { mBodyDeadline = aDeadline; }
   /// Reads up to `aSize` body bytes. Returns the number read, 0 at the end of
-  /// the body. Sends "100 Continue" first if the caller waits for it.
+  /// the body. Sends "100 Continue" first if the caller waits for it. Errors:
+  /// DeadlineBeforeStart if the body is not complete at its deadline.
   Awaitable<Result<size_t>> ReadSome(char* aData, size_t aSize);
   /// Reads the whole body. Errors: TooLarge if it exceeds `aLimit` bytes.
   Awaitable<Result<std::string>> ReadBody(size_t aLimit);
@@ -163,6 +166,7 @@
   bool mContinueSent = false;
   bool mAnswered = false;
   bool mChunked = false;
+  TimePoint mBodyDeadline = TimePoint::max();
   std::optional<TimePoint> mWaitingSince;
   bool mHasServed = false;
   bool mIdle = true;
--- a/test/processes/crowd.py
+++ b/test/processes/crowd.py
@@ -158,6 +158,10 @@
     yield head("POST", "/once/x", "Content-Length: 1000")
 
 
+def long_body_byte_by_byte():
+    yield head("POST", "/once/x", f"Content-Length: {1 << 20}")
+
+
 FORMS = {
     it.__name__: it
     for it in (
@@ -166,6 +170,7 @@
         body_without_route_held, relayed_chunk_without_end, many_fields_body_held,
         header_held, large_answer_unread, answers_unread, peer_frame_held, silent,
         answered_once, relayed_chunked_body_held, relayed_endless_body, header_byte_by_byte, body_byte_by_byte,
+        long_body_byte_by_byte,
     )
 }
 
