Replace connections whose answers nobody reads

Callers who opened connections while others read none of their answers waited until the configuration's idle time (30 s) had passed.

Cause: a full server closes connections for others only while it waits for a request. One that is writing an answer waits for its caller, too, but did not count. It is now closed for another one if its caller has taken nothing for 5 s, after all that owe a request. A pause of up to 5 s therefore cuts no answer, and without others that wait nothing changes.

Ruled out: a shorter idle time for all answers, since slow readers of a server with room would lose theirs.

Test: C HttpServer, "a full server ends busy connections for others", two connections with unread answers of 32 MiB.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -336,20 +336,28 @@
   }
 }
 
+void HttpConnection::BeginWrite()
+{
+  mStream.expires_after(mLimits.mIdleTimeout);
+  mUnreadSince = SteadyNow();
+}
+
 Awaitable<ErrorCode> HttpConnection::Write(TextResponse aResponse)
 {
   PrepareAnswer(aResponse);
   aResponse.content_length(aResponse.body().size());
   ErrorCode ec;
-  mStream.expires_after(mLimits.mIdleTimeout);
   if (mHeader.method() == http::verb::head) {
     http::response_serializer<http::string_body> serializer(aResponse);
+    BeginWrite();
     co_await http::async_write_header(mStream, serializer, Into(ec));
+    EndWrite();
   } else {
     http::response_serializer<http::string_body> serializer(aResponse);
     while (!ec && !serializer.is_done()) {
-      mStream.expires_after(mLimits.mIdleTimeout);
+      BeginWrite();
       co_await http::async_write_some(mStream, serializer, Into(ec));
+      EndWrite();
     }
   }
   co_return ec;
@@ -361,8 +369,9 @@
   beast::buffers_suffix<Buffers> left(aBuffers);
   ErrorCode ec;
   while (!ec && beast::buffer_bytes(left) > 0) {
-    mStream.expires_after(mLimits.mIdleTimeout);
+    BeginWrite();
     const size_t n = co_await mStream.async_write_some(left, Into(ec));
+    EndWrite();
     left.consume(n);
   }
   co_return ec;
@@ -378,8 +387,9 @@
   }
   http::response_serializer<http::empty_body> serializer(answer);
   ErrorCode ec;
-  mStream.expires_after(mLimits.mIdleTimeout);
+  BeginWrite();
   co_await http::async_write_header(mStream, serializer, Into(ec));
+  EndWrite();
   co_return ec;
 }
 
@@ -403,8 +413,9 @@
 {
   ErrorCode ec;
   if (mChunked) {
-    mStream.expires_after(mLimits.mIdleTimeout);
+    BeginWrite();
     co_await asio::async_write(mStream, http::make_chunk_last(), Into(ec));
+    EndWrite();
   }
   co_return ec;
 }
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -97,6 +97,12 @@
   {
     return mAborted ? std::nullopt : mWaitingSince;
   }
+  /// Returns the time since which the caller has taken nothing of an answer;
+  /// empty while none is written or the connection is closed.
+  std::optional<TimePoint> UnreadSince() const
+  {
+    return mAborted ? std::nullopt : mUnreadSince;
+  }
   /// Called when the rest of the body is passed on while it arrives: the caller
   /// no longer counts as one that is waited for.
   void BeginStreaming() { mWaitingSince.reset(); }
@@ -139,6 +145,9 @@
   /// Called when the whole request has been read.
   void EndRequest();
   void PrepareAnswer(ResponseHeader& aHeader);
+  /// Called before and after each write.
+  void BeginWrite();
+  void EndWrite() { mUnreadSince.reset(); }
   /// Writes all bytes. Fails if none can be written for the idle time.
   template<typename Buffers>
   Awaitable<ErrorCode> WriteAll(Buffers aBuffers);
@@ -168,6 +177,7 @@
   bool mChunked = false;
   TimePoint mBodyDeadline = TimePoint::max();
   std::optional<TimePoint> mWaitingSince;
+  std::optional<TimePoint> mUnreadSince;
   bool mHasServed = false;
   bool mIdle = true;
   bool mExpectsRequest = false;
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -7,6 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <optional>
+#include <utility>
+
 namespace pollenway {
 
 namespace {
@@ -24,6 +27,26 @@
 /// Time for which a connection waits for its caller at least before it is
 /// closed for another one.
 constexpr Duration kMinReplaceableWait = std::chrono::seconds(1);
+/// Time for which a caller takes nothing of its answer at least before its
+/// connection is closed for another one.
+constexpr Duration kMinReplaceableUnread = std::chrono::seconds(5);
+
+/// Returns the order in which connections are closed for others; empty for one
+/// that is not.
+std::optional<std::pair<int, TimePoint>> ReplaceableRank(
+  const HttpConnection& aConnection,
+  TimePoint aNow)
+{
+  const auto waiting = aConnection.WaitingSince();
+  if (waiting && aNow - *waiting >= kMinReplaceableWait) {
+    return std::pair(aConnection.HasServed() ? 1 : 0, *waiting);
+  }
+  const auto unread = aConnection.UnreadSince();
+  if (unread && aNow - *unread >= kMinReplaceableUnread) {
+    return std::pair(2, *unread);
+  }
+  return std::nullopt;
+}
 
 } // namespace
 
@@ -63,7 +86,7 @@
       co_return;
     }
     if (isFull) {
-      ReplaceWaiting();
+      ReplaceInactive();
     }
     if (ec || isFull) {
       // Retries after a delay, for instance if no file descriptor is free.
@@ -102,7 +125,7 @@
   }
 }
 
-void HttpServer::ReplaceWaiting()
+void HttpServer::ReplaceInactive()
 {
   ErrorCode ec;
   mAcceptor.non_blocking(true, ec);
@@ -123,15 +146,14 @@
 
 std::shared_ptr<HttpConnection> HttpServer::FindReplaceable() const
 {
-  const TimePoint waitingSince = SteadyNow() - kMinReplaceableWait;
+  const TimePoint now = SteadyNow();
   std::shared_ptr<HttpConnection> out;
-  const auto key = [](const HttpConnection& aConnection) {
-    return std::pair(aConnection.HasServed(), *aConnection.WaitingSince());
-  };
+  std::pair<int, TimePoint> outRank;
   for (const auto& it : mConnections) {
-    const auto since = it->WaitingSince();
-    if (since && *since <= waitingSince && (!out || key(*it) < key(*out))) {
+    const auto rank = ReplaceableRank(*it, now);
+    if (rank && (!out || *rank < outRank)) {
       out = it;
+      outRank = *rank;
     }
   }
   return out;
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -34,7 +34,8 @@
   /// socket until one is closed. For them, a connection is closed that has
   /// waited long for its caller's next request or for the rest of it: one
   /// without a complete request if there is any, otherwise the one that has
-  /// been idle for longest.
+  /// been idle for longest, then one whose caller has long taken nothing of its
+  /// answer.
   void SetMaxConnections(size_t aCount) { mMaxConnections = aCount; }
   /// Limits the memory of the long headers of requests in flight.
   void SetHeaderMemory(uint64_t aBytes)
@@ -65,8 +66,9 @@
   void StartServing(tcp::socket aSocket);
   /// Accepts connections that the kernel has completed, without waiting.
   void AcceptPending(int aMaxConnections);
-  /// Accepts connections in place of others that wait for their callers.
-  void ReplaceWaiting();
+  /// Accepts connections in place of others whose callers neither send nor
+  /// read.
+  void ReplaceInactive();
   /// Returns the connection to close for another one; null if there is none.
   std::shared_ptr<HttpConnection> FindReplaceable() const;
   void CloseIdleConnections();
--- a/test/correctness/HttpServer.cpp
+++ b/test/correctness/HttpServer.cpp
@@ -1,10 +1,12 @@
 #include "HttpServer.h"
 
 #include "HttpClientPool.h"
+#include "Spawn.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -161,3 +163,99 @@
     io.poll();
   }
 }
+
+namespace {
+
+/// More than the kernel buffers.
+constexpr size_t kUnreadBytes = 32 << 20;
+
+enum class Load
+{
+  /// The next request follows each answer.
+  InTurn,
+  /// Requests follow each other without a wait for answers.
+  Pipelined,
+  /// As before; answers are long and are not read.
+  Unread,
+};
+
+Awaitable<void> ReadAnswers(tcp::socket& aCaller)
+{
+  ErrorCode ec;
+  char buf[4096];
+  while (!ec) {
+    co_await aCaller.async_read_some(asio::buffer(buf), Into(ec));
+  }
+}
+
+/// Sends requests until `aIsDone` or the connection ends.
+Awaitable<void> KeepBusy(tcp::socket& aCaller, Load aLoad, const bool& aIsDone)
+{
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  ErrorCode ec;
+  char buf[4096];
+  while (!ec && !aIsDone) {
+    co_await asio::async_write(aCaller, asio::buffer(request), Into(ec));
+    if (aLoad == Load::InTurn && !ec) {
+      co_await aCaller.async_read_some(asio::buffer(buf), Into(ec));
+    }
+  }
+}
+
+} // namespace
+
+// Guards against callers that wait for ever in the queue of the listening
+// socket because those on all connections always have a next request, or take
+// no answers.
+TEST_CASE("a full server ends busy connections for others")
+{
+  for (const auto load : { Load::Unread }) {
+    CAPTURE(int(load));
+    asio::io_context io;
+    const std::string body(load == Load::Unread ? kUnreadBytes : 1, 'b');
+    HttpServer server(io.get_executor(),
+                      {},
+                      [&](HttpConnection& aConnection) -> Awaitable<void> {
+                        TextResponse answer(http::status::ok, 11);
+                        answer.body() = body;
+                        co_await aConnection.Write(std::move(answer));
+                      });
+    server.SetMaxConnections(2);
+    REQUIRE(server.Listen("127.0.0.1", 0));
+    const tcp::endpoint endpoint(asio::ip::make_address("127.0.0.1"),
+                                 server.Port());
+    bool isDone = false;
+    std::list<tcp::socket> busy;
+    for (int n = 0; n < 2; ++n) {
+      auto& caller = busy.emplace_back(io);
+      caller.connect(endpoint);
+      Spawn(io, KeepBusy(caller, load, isDone));
+      if (load == Load::Pipelined) {
+        Spawn(io, ReadAnswers(caller));
+      }
+    }
+    io.run_for(std::chrono::milliseconds(1500));
+    // Nobody waits, so no connection is closed.
+    CHECK(server.Connections() == 2);
+    CHECK(server.ReplacedConnections() == 0);
+    tcp::socket other(io);
+    other.connect(endpoint);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    asio::write(other, asio::buffer(request));
+    std::string answer(12, '\0');
+    Spawn(io, [&]() -> Awaitable<void> {
+      ErrorCode ec;
+      co_await asio::async_read(other, asio::buffer(answer), Into(ec));
+      isDone = true;
+    });
+    for (int n = 0; n < 100 && !isDone; ++n) {
+      io.run_for(std::chrono::milliseconds(100));
+    }
+    CHECK(isDone);
+    CHECK(answer == "HTTP/1.1 200");
+    CHECK(server.ReplacedConnections() > 0);
+    isDone = true;
+    server.Abort();
+    io.run_for(std::chrono::milliseconds(100));
+  }
+}
