End busy connections of a full server while others wait

Callers who opened connections got no answer for more than 30 s while 175 others always had a next request (processes.UnreadConnections; a crowd of 300 that send requests behind each other and read nothing).

Cause: a full server closed only connections that had waited for their callers for a second. One whose next request is already there never waits. Nor does one whose caller sends the next request upon each answer, so that ordinary busy callers kept others out in the same way.

While others wait and no connection is inactive, the oldest ones, from an age of one second and one in 64 at a time, are closed after their next answer, which says so (Connection: close). No request is cut: an answer that has begun is passed over, and requests behind the last answer have not run. The server learns from the listening socket that others wait, so nothing is closed without need. Ruled out: limits on unsent bytes, since they would not help beside callers that read; closing by address, since callers may share one.

Test: C HttpServer, rows InTurn and Pipelined.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -43,6 +43,7 @@
                                std::shared_ptr<ByteBudget> aHeaderMemory)
   : mStream(std::move(aSocket))
   , mLimits(aLimits)
+  , mOpenedAt(SteadyNow())
   , mHeaderMemory(std::move(aHeaderMemory))
 {
   ErrorCode ec;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -90,6 +90,7 @@
   /// Closes the connection after the current request is answered.
   void CloseAfterAnswer() { mCloseAfterAnswer = true; }
   bool ClosesAfterAnswer() const { return mCloseAfterAnswer; }
+  TimePoint OpenedAt() const { return mOpenedAt; }
   bool IsIdle() const { return mIdle && !mExpectsRequest; }
   /// Returns the time since which the caller has owed a request or the rest of
   /// one; empty while a request is processed or the connection is closed.
@@ -162,6 +163,7 @@
   beast::flat_buffer mBuffer;
   HttpLimits mLimits;
   tcp::endpoint mPeer;
+  TimePoint mOpenedAt;
   std::optional<Parser> mParser;
   /// The header of the current request. It is kept apart from the parser, which
   /// adds the trailers to its own.
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pollenway {
 
@@ -30,6 +32,10 @@
 /// Time for which a caller takes nothing of its answer at least before its
 /// connection is closed for another one.
 constexpr Duration kMinReplaceableUnread = std::chrono::seconds(5);
+/// Age from which a busy connection may be ended for another one.
+constexpr Duration kMinReplaceableAge = std::chrono::seconds(1);
+/// One in so many connections is ended at once while others wait.
+constexpr size_t kConnectionsPerEnded = 64;
 
 /// Returns the order in which connections are closed for others; empty for one
 /// that is not.
@@ -78,15 +84,17 @@
   while (!mStopping) {
     ErrorCode ec;
     tcp::socket socket(mExecutor);
-    const bool isFull = mConnections.size() >= mMaxConnections;
-    if (!isFull) {
+    const bool isFull = IsFull();
+    if (isFull) {
+      co_await mAcceptor.async_wait(tcp::acceptor::wait_read, Into(ec));
+    } else {
       co_await mAcceptor.async_accept(socket, Into(ec));
     }
     if (ec == asio::error::operation_aborted) {
       co_return;
     }
-    if (isFull) {
-      ReplaceInactive();
+    if (isFull && !ec && !mStopping && IsFull()) {
+      MakeRoom();
     }
     if (ec || isFull) {
       // Retries after a delay, for instance if no file descriptor is free.
@@ -114,9 +122,7 @@
 {
   ErrorCode ec;
   mAcceptor.non_blocking(true, ec);
-  for (int n = 0; !ec && n < aMaxConnections &&
-                  (mStopping || mConnections.size() < mMaxConnections);
-       ++n) {
+  for (int n = 0; !ec && n < aMaxConnections && (mStopping || !IsFull()); ++n) {
     tcp::socket socket(mExecutor);
     mAcceptor.accept(socket, ec);
     if (!ec) {
@@ -125,6 +131,15 @@
   }
 }
 
+void HttpServer::MakeRoom()
+{
+  const uint64_t replaced = mReplacedConnections;
+  ReplaceInactive();
+  if (mReplacedConnections == replaced) {
+    EndOldest(1 + mMaxConnections / kConnectionsPerEnded);
+  }
+}
+
 void HttpServer::ReplaceInactive()
 {
   ErrorCode ec;
@@ -144,6 +159,30 @@
   }
 }
 
+void HttpServer::EndOldest(size_t aCount)
+{
+  const TimePoint openedBefore = SteadyNow() - kMinReplaceableAge;
+  std::vector<HttpConnection*> endable;
+  for (const auto& it : mConnections) {
+    // The answer in progress does not announce the end of the connection.
+    if (it->OpenedAt() <= openedBefore && !it->HasAnswered() &&
+        !it->ClosesAfterAnswer()) {
+      endable.push_back(it.get());
+    }
+  }
+  const size_t n = std::min(aCount, endable.size());
+  std::partial_sort(endable.begin(),
+                    endable.begin() + n,
+                    endable.end(),
+                    [](const auto* aLeft, const auto* aRight) {
+                      return aLeft->OpenedAt() < aRight->OpenedAt();
+                    });
+  for (size_t i = 0; i < n; ++i) {
+    endable[i]->CloseAfterAnswer();
+    ++mReplacedConnections;
+  }
+}
+
 std::shared_ptr<HttpConnection> HttpServer::FindReplaceable() const
 {
   const TimePoint now = SteadyNow();
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -35,6 +35,7 @@
   /// waited long for its caller's next request or for the rest of it: one
   /// without a complete request if there is any, otherwise the one that has
   /// been idle for longest, then one whose caller has long taken nothing of its
+  /// answer. If there is none, the oldest ones are closed after their next
   /// answer.
   void SetMaxConnections(size_t aCount) { mMaxConnections = aCount; }
   /// Limits the memory of the long headers of requests in flight.
@@ -42,7 +43,8 @@
   {
     mHeaderMemory = std::make_shared<ByteBudget>(aBytes);
   }
-  /// Returns the number of connections that were closed for others.
+  /// Returns the number of connections that were closed for others, or will be
+  /// after their next answer.
   uint64_t ReplacedConnections() const { return mReplacedConnections; }
   /// Continues to accept and serve connections, but closes each one after its
   /// next answer.
@@ -66,9 +68,14 @@
   void StartServing(tcp::socket aSocket);
   /// Accepts connections that the kernel has completed, without waiting.
   void AcceptPending(int aMaxConnections);
+  bool IsFull() const { return mConnections.size() >= mMaxConnections; }
+  /// Closes connections of a full server for others that wait to be accepted.
+  void MakeRoom();
   /// Accepts connections in place of others whose callers neither send nor
   /// read.
   void ReplaceInactive();
+  /// Lets up to `aCount` connections end after their next answers.
+  void EndOldest(size_t aCount);
   /// Returns the connection to close for another one; null if there is none.
   std::shared_ptr<HttpConnection> FindReplaceable() const;
   void CloseIdleConnections();
--- a/test/correctness/HttpServer.cpp
+++ b/test/correctness/HttpServer.cpp
@@ -209,7 +209,7 @@
 // no answers.
 TEST_CASE("a full server ends busy connections for others")
 {
-  for (const auto load : { Load::Unread }) {
+  for (const auto load : { Load::InTurn, Load::Pipelined, Load::Unread }) {
     CAPTURE(int(load));
     asio::io_context io;
     const std::string body(load == Load::Unread ? kUnreadBytes : 1, 'b');
