Keep the last sender of each link between instances only

Cause: PeerTransport keeps the last link of each sender, for answers to instances that no view lists, and never removed an entry. Each also kept the memory of a closed link. Now a link that gets a message from another sender gives up the entry of the one before, and entries of closed links go when a new link is accepted. All messages of an instance on one link have its name, so answers reach the same links as before.

Ruled out: a limit on the number of entries, since forged names would push out true ones.

--- a/src/PeerLink.h
+++ b/src/PeerLink.h
@@ -3,6 +3,7 @@
 #include "ByteBudget.h"
 #include "FrameDecoder.h"
 #include "HttpTypes.h"
+#include "Ids.h"
 #include "Time.h"
 
 #include <deque>
@@ -43,6 +44,9 @@
   bool IsOpen() const { return !mClosed; }
   /// Returns the time at which the last data arrived or the link was opened.
   TimePoint LastReceivedAt() const { return mLastReceivedAt; }
+  /// The sender of the last message; empty before the first one.
+  const InstanceName& Sender() const { return mSender; }
+  void SetSender(InstanceName aSender) { mSender = std::move(aSender); }
 
 private:
   Awaitable<void> ReadLoop();
@@ -58,6 +62,7 @@
   std::deque<std::string> mQueue;
   size_t mQueuedBytes = 0;
   TimePoint mLastReceivedAt{};
+  InstanceName mSender;
   bool mWriting = false;
   bool mClosed = false;
 };
--- a/src/PeerTransport.cpp
+++ b/src/PeerTransport.cpp
@@ -90,6 +90,10 @@
     const auto link = aLink.lock();
     return !link || !link->IsOpen();
   });
+  std::erase_if(mLastLinks, [](const auto& aEntry) {
+    const auto link = aEntry.second.lock();
+    return !link || !link->IsOpen();
+  });
   while (!mInbound.empty() && mInbound.size() >= mMaxInboundLinks) {
     const auto oldest = std::min_element(
       mInbound.begin(), mInbound.end(), [](const auto& aA, const auto& aB) {
@@ -238,6 +242,19 @@
   }
 }
 
+void PeerTransport::RememberSender(const std::shared_ptr<PeerLink>& aLink,
+                                   const InstanceName& aSender)
+{
+  if (aLink->Sender() != aSender) {
+    const auto it = mLastLinks.find(aLink->Sender());
+    if (it != mLastLinks.end() && it->second.lock() == aLink) {
+      mLastLinks.erase(it);
+    }
+    aLink->SetSender(aSender);
+  }
+  mLastLinks[aSender] = aLink;
+}
+
 void PeerTransport::OnFrame(const std::shared_ptr<PeerLink>& aLink,
                             std::string aFrame)
 {
@@ -253,7 +270,7 @@
     aLink->Close();
     return;
   }
-  mLastLinks[message.value().mSender] = aLink;
+  RememberSender(aLink, message.value().mSender);
   if (message.value().mIsReply) {
     OnReply(aLink, std::move(message.value()));
     return;
--- a/src/PeerTransport.h
+++ b/src/PeerTransport.h
@@ -108,6 +108,10 @@
   Awaitable<void> Accept();
   /// Closes links from peers until there is room for another one.
   void MakeRoomForLink();
+  /// Makes `aLink` the last link of `aSender`. Only the last sender of each
+  /// link is kept, so that names that don't exist take no memory.
+  void RememberSender(const std::shared_ptr<PeerLink>& aLink,
+                      const InstanceName& aSender);
   void OnFrame(const std::shared_ptr<PeerLink>& aLink, std::string aFrame);
   void OnReply(const std::shared_ptr<PeerLink>& aLink, PeerMessage aMessage);
   Awaitable<void> Serve(std::shared_ptr<PeerLink> aLink, PeerMessage aMessage);
--- a/test/processes/crowd.py
+++ b/test/processes/crowd.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import itertools
 import socket
 import sys
 
@@ -24,8 +25,10 @@
 MAX_HEADER_BYTES = 16384
 RELAY_BODY_BYTES = 8 << 20
 PEER_FRAME_BYTES = 1 << 20
+PEER_NAME_BYTES = 250
 HOST = "kepu3.example"
 KEY = "tnfzs989anu6"
+NAMES = itertools.count()
 
 
 def head(method, path, *fields):
@@ -142,6 +145,21 @@
     yield (PEER_FRAME_BYTES - 1).to_bytes(4, "big") + b"\xc1" * (PEER_FRAME_BYTES - 2)
 
 
+def peer_names():
+    """Messages between instances, each from a sender of another name: replies to a call
+    that the gateway has not made."""
+    while True:
+        block = b""
+        while len(block) < BLOCK_BYTES:
+            name = b"edge-%d-" % next(NAMES)
+            name += b"n" * (PEER_NAME_BYTES - len(name))
+            # Version 1, kind 4, sender, incarnation 1, request, a reply, receiver 0, body.
+            message = b"\x88\x00\x01\x01\x04\x02\xd9" + bytes([PEER_NAME_BYTES]) + name
+            message += b"\x03\x01\x04\xcf\x40" + bytes(7) + b"\x05\xc3\x06\x00\x07\x91\x00"
+            block += len(message).to_bytes(4, "big") + message
+        yield block
+
+
 def silent():
     yield b""
 
@@ -168,7 +186,7 @@
         trailer_lines, trailers_after_pieces, trailer_of_one_line, chunk_extension,
         chunk_size_digits, chunked_body_held, body_of_known_length_held,
         body_without_route_held, relayed_chunk_without_end, many_fields_body_held,
-        header_held, large_answer_unread, answers_unread, peer_frame_held, silent,
+        header_held, large_answer_unread, answers_unread, peer_frame_held, peer_names, silent,
         answered_once, relayed_chunked_body_held, relayed_endless_body, header_byte_by_byte, body_byte_by_byte,
         long_body_byte_by_byte,
     )
