--- a/review/deployment2.py
+++ b/review/deployment2.py
@@ -35,6 +35,8 @@
 CONTACT_S = BOUNDS["contactS"]
 DRAIN_S = BOUNDS["drainS"]
 CONFIG_S = BOUNDS["configS"]
+# One way between two regions.
+CROSS_REGION_S = 0.055
 
 
 class CaseError(Exception):
@@ -151,10 +153,10 @@
         return len(self.lost[kind])
 
     def cut_waiting_watches(self):
-        """Cuts off all watches that wait."""
+        """Cuts off all watches that wait: their channels are closed in order."""
         writers = [it[1] for its in self.waiting.values() for it in its]
         for it in writers:
-            it.transport.abort()
+            it.close()
         return len(writers)
 
     def _publish(self, kind, item, is_deleted):
@@ -316,6 +318,33 @@
         await writer.drain()
 
 
+class DelayProxy:
+    """Forwards connections to one address and delays the bytes in both directions, like
+    the links between two regions."""
+
+    def __init__(self, upstream, delay_s):
+        self.upstream, self.delay_s = upstream, delay_s
+        self.address = None
+
+    async def start(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = server.sockets[0].getsockname()
+
+    async def _serve(self, reader, writer):
+        up_reader, up_writer = await asyncio.open_connection(*self.upstream)
+        await asyncio.gather(
+            self._pump(reader, up_writer), self._pump(up_reader, writer), return_exceptions=True)
+
+    async def _pump(self, reader, writer):
+        loop = asyncio.get_running_loop()
+        try:
+            while data := await reader.read(65536):
+                loop.call_later(self.delay_s, writer.write, data)
+        except ConnectionError:
+            pass
+        loop.call_later(self.delay_s, writer.close)
+
+
 class Gateway:
     """One gateway process at its own loopback address."""
 
@@ -327,10 +356,16 @@
 class Deployment:
     """All processes and stand-ins of a case."""
 
-    def __init__(self, record, zones, gateways_per_zone, targets_per_zone=2, memory_mb=182):
+    def __init__(
+        self, record, zones, gateways_per_zone, targets_per_zone=2, memory_mb=182,
+        store_region=None,
+    ):
         self.record, self.zones = record, zones
         self.store = Store(record)
         self.memory_mb = memory_mb
+        # The region of the store; calls from others take longer. None: no delays.
+        self.store_region = store_region
+        self.remote_store = None
         self.folder = tempfile.mkdtemp(prefix="pollenway-case-")
         self.gateways, self.targets = [], []
         self.gateways_per_zone = gateways_per_zone
@@ -377,11 +412,15 @@
             ],
             "faultTolerance": {"machines": 1, "zones": 1, "regions": 1}, "bounds": BOUNDS,
             "provider": {
-                "address": "%s:%d" % self.store.address, "form": "objects", "writesPerS": 400,
+                "address": "%s:%d" % self._store_address(gateway), "form": "objects", "writesPerS": 400,
                 "readsPerS": 2000, "historyS": 20, "valueBytes": 1048576, "ttlMinS": 1,
             },
         }
 
+    def _store_address(self, gateway):
+        is_near = self.store_region in (None, self.zones[gateway.zone])
+        return self.store.address if is_near else self.remote_store.address
+
     def configuration(self):
         self.version += 1
         route = {
@@ -432,6 +471,8 @@
             raise CaseError(f"{PROGRAM} is missing: run the deploy file's build")
         network = self._choose_addresses()
         await self.store.start()
+        self.remote_store = DelayProxy(self.store.address, CROSS_REGION_S)
+        await self.remote_store.start()
         self.publish()
         for zone in self.zones:
             for _ in range(self.targets_per_zone):
